Move the scheduling of requests out of the entry into package dispatch

The queue, the admission and the choice of servers knew agent connections and release notes. They now know a Fleet of Servers with views, so that another surrounding can use the same decisions.

--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,216 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/samphirestream/samphirestream/internal/admission"
+	"github.com/samphirestream/samphirestream/internal/placement"
+	"github.com/samphirestream/samphirestream/internal/predict"
+	"github.com/samphirestream/samphirestream/internal/schedule"
+)
+
+// Bounds of the wait before a pool is looked at again.
+const (
+	minPumpWait = time.Millisecond
+	maxPumpWait = 20 * time.Millisecond
+)
+
+// pool is the queue of one model with the views of its servers. The lock of
+// the dispatcher guards it.
+type pool[S Server] struct {
+	d       *Dispatcher[S]
+	model   string
+	sched   *schedule.Schedule
+	planner *placement.Planner
+	index   *placement.PrefixIndex
+	lengths *predict.Lengths
+	// down is set while no prefill or no decode server takes work.
+	down  bool
+	timer *time.Timer
+	mark  uint64
+
+	prefills, decodes         []S
+	prefillViews, decodeViews []*placement.Server
+	hits                      []placement.Hit
+}
+
+// Waiter is a job that waits for its servers.
+type Waiter[S Server] struct {
+	pool    *pool[S]
+	job     schedule.Job
+	request *Job
+	need    placement.Request
+	use     Use
+	result  chan Assignment[S]
+}
+
+// Lagging reports whether the job belongs to a provider that used less than its
+// share while others waited. Engines serve it before those.
+func (w *Waiter[S]) Lagging() bool { return w.job.Lagging() }
+
+func newPool[S Server](d *Dispatcher[S], model string) *pool[S] {
+	return &pool[S]{
+		d: d, model: model, planner: d.options.NewPlanner(),
+		sched: schedule.New(d.options.Policy, d.options.Order),
+		index: placement.NewPrefixIndex(), lengths: predict.NewLengths(),
+	}
+}
+
+// newWaiter describes a job to the decisions.
+func (p *pool[S]) newWaiter(j *Job) *Waiter[S] {
+	w := &Waiter[S]{pool: p, request: j, result: make(chan Assignment[S], 1)}
+	w.need = placement.Request{
+		PromptTokens: j.PromptTokens, Pieces: j.Pieces,
+		AnswerTokens:  min(p.lengths.Predict(j.lengthKey()), float64(j.MaxTokens)),
+		BetweenTokens: j.Goal.BetweenTokens, Caution: j.Goal.Caution,
+	}
+	w.use = Use{
+		Prefill: placement.Use{Tokens: j.PromptTokens},
+		Decode:  placement.Use{Slots: 1, Pieces: j.Pieces},
+	}
+	w.job = schedule.Job{
+		Provider: j.Provider, Weight: j.Weight, Goal: j.Goal, Arrived: p.d.Now(),
+		Path: p.planner.BestPath(j.PromptTokens), Work: p.planner.Work(j.PromptTokens), Urgent: j.Urgent, Owner: w,
+	}
+	return w
+}
+
+// offer asks to admit a job. While no server takes work it is not known when
+// the first token would come, so that jobs wait.
+func (p *pool[S]) offer(w *Waiter[S]) admission.Verdict {
+	p.refresh()
+	path := time.Duration(0)
+	if !p.down {
+		p.describe(w)
+		if c, ok := p.planner.ChoosePrefill(p.d.rnd, &w.need, p.prefillViews); ok {
+			path = time.Duration(c.Cost*float64(time.Millisecond)) + placement.StartOverhead
+		}
+	}
+	return p.sched.Offer(p.d.Now(), &w.job, path)
+}
+
+// refresh brings the views up to date with what is known of the fleet.
+func (p *pool[S]) refresh() {
+	p.prefills = p.d.fleet.Prefills(p.model, p.prefills[:0])
+	p.decodes = p.d.fleet.Decodes(p.model, p.decodes[:0])
+	p.prefillViews = views(p.prefills, p.prefillViews)
+	p.decodeViews = views(p.decodes, p.decodeViews)
+	down := !anyUp(p.prefillViews) || !anyUp(p.decodeViews)
+	if p.down && !down {
+		p.sched.Renew(p.d.Now())
+	}
+	p.down = down
+}
+
+func views[S Server](servers []S, out []*placement.Server) []*placement.Server {
+	out = out[:0]
+	for _, s := range servers {
+		out = append(out, s.View())
+	}
+	return out
+}
+
+func anyUp(list []*placement.Server) bool {
+	for _, s := range list {
+		if !s.Down {
+			return true
+		}
+	}
+	return false
+}
+
+// describe brings the request up to the time of a decision.
+func (p *pool[S]) describe(w *Waiter[S]) {
+	w.need.Now = p.d.Now()
+	p.hits = p.index.Lookup(w.request.Prefixes, p.hits[:0])
+	w.need.Hits = p.hits
+	p.avoid(w)
+}
+
+// avoid marks the servers where the job failed before.
+func (p *pool[S]) avoid(w *Waiter[S]) {
+	w.need.Avoid = 0
+	if len(w.request.Failed) == 0 {
+		return
+	}
+	p.mark++
+	w.need.Avoid = p.mark
+	for _, list := range [][]S{p.prefills, p.decodes} {
+		for _, s := range list {
+			if w.request.Failed[s.Name()] {
+				s.View().Mark = p.mark
+			}
+		}
+	}
+}
+
+// pump gives up what is doomed and dispatches what has room. The caller holds
+// the lock of the dispatcher.
+func (p *pool[S]) pump() {
+	p.refresh()
+	if p.down {
+		p.wake(maxPumpWait)
+		return
+	}
+	for d := p.sched.Doomed(p.d.Now()); d != nil; d = p.sched.Doomed(p.d.Now()) {
+		d.Owner.(*Waiter[S]).refuse()
+	}
+	for d := p.sched.Head(); d != nil; d = p.sched.Head() {
+		w := d.Owner.(*Waiter[S])
+		plan, ok := p.plan(w)
+		if !ok {
+			p.wake(maxPumpWait)
+			return
+		}
+		if plan.Wait > schedule.HoldWait && !d.Urgent {
+			p.wake(plan.Wait - schedule.HoldWait)
+			return
+		}
+		p.sched.Pop(p.d.Now())
+		w.assign(plan)
+	}
+}
+
+// plan chooses servers. Servers where the job failed are the last resort.
+func (p *pool[S]) plan(w *Waiter[S]) (placement.Plan, bool) {
+	p.describe(w)
+	plan, ok := p.planner.Plan(p.d.rnd, &w.need, p.prefillViews, p.decodeViews)
+	if !ok && w.need.Avoid != 0 {
+		w.need.Avoid = 0
+		plan, ok = p.planner.Plan(p.d.rnd, &w.need, p.prefillViews, p.decodeViews)
+	}
+	return plan, ok
+}
+
+// wake looks at the pool again after a while.
+func (p *pool[S]) wake(d time.Duration) {
+	if p.timer != nil {
+		return
+	}
+	p.timer = time.AfterFunc(min(max(d, minPumpWait), maxPumpWait), func() {
+		p.d.mu.Lock()
+		defer p.d.mu.Unlock()
+		p.timer = nil
+		if p.sched.Len() > 0 {
+			p.pump()
+		}
+	})
+}
+
+// assign gives a job its servers and counts it there.
+func (w *Waiter[S]) assign(plan placement.Plan) {
+	p := w.pool
+	a := Assignment[S]{
+		Prefill: p.prefills[plan.Prefill], Decode: p.decodes[plan.Decode], Use: w.use,
+		PrefillIn: w.need.PrefillIn, MaxWait: plan.Wait + placement.WaitTolerance,
+	}
+	now := p.d.Now()
+	a.Decode.View().Sent(now, w.use.Decode)
+	a.Prefill.View().Sent(now, w.use.Prefill)
+	w.result <- a
+}
+
+// refuse gives a job up.
+func (w *Waiter[S]) refuse() {
+	w.result <- Assignment[S]{refusal: &Refusal{Reason: lateReason, RetryAfter: w.pool.sched.RetryAfter(&w.job)}}
+}
--- a/internal/entry/agentconn.go
+++ b/internal/entry/agentconn.go
@@ -172,7 +172,7 @@
 	if c.entry.cfg.NoteSeen != nil {
 		c.entry.cfg.NoteSeen(l.Note)
 	}
-	c.entry.sched.learn(c, l)
+	c.reported(l)
 }
 
 // usable reports whether the agent was heard of within the lease and takes new
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/protocol"
 	"github.com/samphirestream/samphirestream/internal/release"
 )
@@ -43,7 +44,7 @@
 	// givenUp is set when the job was refused for good.
 	givenUp bool
 	// use is what the job takes at its servers.
-	use requestUse
+	use dispatch.Use
 }
 
 // answerWriter passes an answer to the caller.
--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -38,7 +38,7 @@
 	}
 	step := now.Sub(p.since) / time.Duration(p.count)
 	p.since, p.count = now, 0
-	p.sched.update(p.server, func(at time.Duration, v *placement.Server) { v.ObserveStep(at, step, p.target) })
+	p.sched.Update(p.server, func(at time.Duration, v *placement.Server) { v.ObserveStep(at, step, p.target) })
 }
 
 // betweenTokens is the target between tokens of a job.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -111,7 +111,7 @@
 	p.decode.inFlight.Add(1)
 	defer p.decode.inFlight.Add(-1)
 	if !started {
-		defer e.sched.endDecode(p.decode, j.use)
+		defer e.sched.EndDecode(p.decode, j.use)
 	}
 	reason, err := e.runOrRelay(ctx, j, p, started)
 	if err != nil {
@@ -120,7 +120,7 @@
 	}
 	p.decode.unwant(p.attempt.ID)
 	if err == nil && !started {
-		e.sched.answered(j)
+		e.sched.Answered(j.described(), len(j.given))
 	}
 	return reason, err
 }
@@ -184,7 +184,7 @@
 	e.count.prefillsStarted.Add(1)
 	for refusals := 0; ; refusals++ {
 		kv, err := e.prefillAt(ctx, j, p)
-		if err == nil || !refusedForLoad(err) || refusals >= maxPrefillRefusals || !e.sched.prefillElsewhere(j, p) {
+		if err == nil || !refusedForLoad(err) || refusals >= maxPrefillRefusals || !e.prefillElsewhere(j, p) {
 			return kv, err
 		}
 	}
@@ -197,7 +197,7 @@
 	var reply protocol.PrefillReply
 	args := protocol.PrefillArgs{Caller: c.caller(ctx), Attempt: p.attempt, Prompt: j.prompt, Given: j.given, MaxWait: p.maxWait}
 	err := c.call(ctx, protocol.ServicePrefill+".Run", args, &reply)
-	e.sched.prefillEnded(j, c, &reply, err)
+	e.sched.PrefillEnded(j.described(), c, j.use, prefillResult(j, &reply, err))
 	if err == nil || apierror.From(err).Outcome != apierror.OutcomeNotRun {
 		j.dispatched = true
 	}
