Test the router, its load, the load share, the directory and the upstream client

A refusal after an attempt that may have run said that the call had not run; TestRefusalAfterAFailureIsNoPromise failed first.

--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,80 @@
+package directory
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestVersionsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	changed := d.Changed()
+	is.True(d.SetConfig(&Config{Version: 4}))
+	<-changed // readers are told
+	is.True(!d.SetConfig(&Config{Version: 3}))
+	is.True(!d.SetConfig(&Config{Version: 4}))
+	is.Equal(d.Current().Config.Version, uint64(4))
+	is.True(d.SetConfig(&Config{Version: 9}))
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.SetConfig(&Config{Version: 1, Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}})
+	for path, want := range map[string]string{"/x/1": "short", "/x/y/1": "long", "/x/yz": "short"} {
+		is.Equal(d.Current().Route("A.example", path).Name, want)
+	}
+	is.Equal(d.Current().Route("a.example", "/z"), nil)
+	is.Equal(d.Current().Route("c.example", "/x/1"), nil)
+}
+
+func TestSharesAreKeptOnAverage(t *testing.T) {
+	is := is.New(t)
+	r := Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	n := map[string]int{}
+	for i := range 10_000 {
+		n[r.Service(strconv.Itoa(i))]++
+	}
+	is.True(n["b"] > 800 && n["b"] < 1200)
+	is.Equal(r.Service("same"), r.Service("same"))
+	is.Equal((&Route{}).Service("x"), "")
+}
+
+func TestOlderRegistrationsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	is.True(d.Put(&Server{ID: "s", Service: "svc", Draining: true, Revision: 7}))
+	is.True(!d.Put(&Server{ID: "s", Service: "svc", Revision: 5}))
+	is.True(d.Current().Servers["s"].Draining)
+	is.Equal(len(d.Current().Services["svc"]), 1)
+}
+
+func TestLapsedRegistrationsReturnOrGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := New()
+		for _, id := range []string{"returns", "stays away", "left"} {
+			d.Put(&Server{ID: id, Service: "svc"})
+		}
+		d.Remove("left", 0)
+		is.Equal(len(d.Current().Servers), 2) // at once
+		d.Remove("returns", 2*time.Second)
+		d.Remove("stays away", 2*time.Second)
+		time.Sleep(time.Second)
+		d.Remove("stays away", 2*time.Second) // a second removal adds no time
+		d.Put(&Server{ID: "returns", Service: "svc", Revision: 2})
+		is.Equal(len(d.Expire(time.Now())), 0)
+		time.Sleep(1100 * time.Millisecond)
+		is.Equal(d.Expire(time.Now()), []string{"stays away"})
+		is.Equal(len(d.Current().Servers), 1)
+		is.True(d.Current().Servers["returns"] != nil)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,10 @@
 	// MemoryShare is the part of the memory of counted servers that is given out;
 	// 0 where servers report.
 	MemoryShare float64
+	// WaitTrust is the part of the predicted wait for such memory that counts
+	// against a job on arrival. A job that is refused misses its target for sure,
+	// one that waits in vain is refused later.
+	WaitTrust float64
 	// Announce, if not nil, is told the arrivals of the jobs that wait in a pool
 	// when they change. It is called with the dispatcher's lock held.
 	Announce func(model string, arrivals []time.Duration)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -117,6 +117,7 @@
 	if !p.down && p.d.options.MemoryShare > 0 {
 		ahead := p.rank(w.job.Arrived) + p.before(w.job.Arrived)
 		if wait, ok := p.planner.Wait(&w.need, p.decodeViews, p.d.options.MemoryShare, ahead); ok {
+			wait = time.Duration(p.d.options.WaitTrust * float64(wait))
 			return p.sched.OfferAfter(p.d.Now(), &w.job, wait, path)
 		}
 	}
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,222 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+)
+
+// network passes datagrams between addresses in memory.
+type network struct {
+	mu    sync.Mutex
+	conns map[string]*memoryConn
+	drop  func(from, to string) bool
+}
+
+type datagram struct {
+	from string
+	data []byte
+}
+
+// memoryConn implements Conn.
+type memoryConn struct {
+	net  *network
+	addr string
+	in   chan datagram
+}
+
+func (n *network) listen(addr string) *memoryConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := &memoryConn{net: n, addr: addr, in: make(chan datagram, 100)}
+	n.conns[addr] = c
+	return c
+}
+
+func (c *memoryConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	d, ok := <-c.in
+	if !ok {
+		return 0, nil, net.ErrClosed
+	}
+	a, err := net.ResolveUDPAddr("udp", d.from)
+	return copy(p, d.data), a, err
+}
+
+func (c *memoryConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	dst, ok := c.net.conns[to.String()]
+	if ok && (c.net.drop == nil || !c.net.drop(c.addr, to.String())) {
+		dst.in <- datagram{c.addr, append([]byte(nil), p...)}
+	}
+	return len(p), nil
+}
+
+func (c *memoryConn) Close() error {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	delete(c.net.conns, c.addr)
+	close(c.in)
+	return nil
+}
+
+// member is one share and what it was told.
+type member struct {
+	*Share
+	mu    sync.Mutex
+	calls map[string]int
+	waits int
+	stop  context.CancelFunc
+}
+
+func (n *network) start(addr string, seeds ...string) *member {
+	m := &member{calls: map[string]int{}}
+	m.Share = New(n.listen(addr), Options{
+		Self: addr, Seeds: seeds,
+		Changed: func(server string, others []Usage) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.calls[server] = 0
+			for _, u := range others {
+				m.calls[server] += u.Calls
+			}
+		},
+		Waiting: func(_ string, arrivals []time.Time) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.waits = len(arrivals)
+		},
+	}, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go m.Run(ctx)
+	return m
+}
+
+func (m *member) others(server string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[server]
+}
+
+func (m *member) waiting() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.waits
+}
+
+const a, b, c = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
+
+// three starts three members, of which the seeds name one.
+func three(n *network) [3]*member {
+	out := [3]*member{n.start(a, a), n.start(b, a), n.start(c, a)}
+	time.Sleep(3 * fullEvery)
+	return out
+}
+
+func run(t *testing.T, f func(t *testing.T, n *network, m [3]*member)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{conns: map[string]*memoryConn{}}
+		m := three(n)
+		f(t, n, m)
+		for _, x := range m {
+			x.stop()
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+func TestMembersFindEachOtherThroughASeed(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		for _, x := range m {
+			is.Equal(x.Entries(), 3)
+		}
+		is.Equal(m[1].Peers(), []string{a, c})
+	})
+}
+
+func TestChangesArriveAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		m[0].Use("s", Usage{Calls: 2})
+		m[1].Use("s", Usage{Calls: 3})
+		m[1].Wait("pool", []time.Time{time.Now()})
+		time.Sleep(2 * gather)
+		is.Equal(m[2].others("s"), 5)
+		is.Equal(m[0].others("s"), 3) // its own is not among the others
+		is.Equal(m[2].waiting(), 1)
+		m[0].Use("s", Usage{})
+		m[1].Wait("pool", nil)
+		time.Sleep(2 * gather)
+		is.Equal(m[2].others("s"), 3)
+		is.Equal(m[2].waiting(), 0)
+	})
+}
+
+func TestLostDatagramsAreRepaired(t *testing.T) {
+	run(t, func(t *testing.T, n *network, m [3]*member) {
+		is := is.New(t)
+		n.mu.Lock()
+		n.drop = func(from, to string) bool { return from == a && to == b }
+		n.mu.Unlock()
+		m[0].Use("s", Usage{Calls: 1})
+		time.Sleep(2 * gather)
+		is.Equal(m[1].others("s"), 0)
+		n.mu.Lock()
+		n.drop = nil
+		n.mu.Unlock()
+		time.Sleep(fullEvery)
+		is.Equal(m[1].others("s"), 1)
+	})
+}
+
+func TestSilentPeersCountForNothing(t *testing.T) {
+	run(t, func(t *testing.T, n *network, m [3]*member) {
+		is := is.New(t)
+		m[0].Use("s", Usage{Calls: 1})
+		m[0].Wait("pool", []time.Time{time.Now()})
+		time.Sleep(2 * gather)
+		n.mu.Lock()
+		n.drop = func(from, _ string) bool { return from == a }
+		n.mu.Unlock()
+		time.Sleep(silence + 2*fullEvery)
+		is.Equal(m[1].others("s"), 0)
+		is.Equal(m[1].waiting(), 0)
+		is.Equal(m[1].Peers(), []string{c})
+		is.Equal(m[1].Entries(), 3) // it may live behind a partition
+		time.Sleep(entriesMemory + fullEvery)
+		is.Equal(m[1].Entries(), 2)
+	})
+}
+
+func TestLeavingPeersAreDroppedAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		m[0].Use("s", Usage{Calls: 1})
+		time.Sleep(2 * gather)
+		m[0].stop()
+		time.Sleep(2 * gather)
+		is.Equal(m[1].others("s"), 0)
+		is.Equal(m[1].Peers(), []string{c})
+	})
+}
+
+func TestOvertakenAndOldMessagesChangeNothingNewer(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := newPeer(5)
+	p.take(&message{Boot: 5, Seq: 9, Uses: map[string]Usage{"s": {Calls: 9}}}, now)
+	is.Equal(p.take(&message{Boot: 5, Seq: 8, Uses: map[string]Usage{"s": {Calls: 8}}}, now), nil)
+	is.Equal(p.take(&message{Boot: 5, Seq: 7, Full: true}, now), nil)
+	is.Equal(p.take(&message{Boot: 4, Seq: 99, Uses: map[string]Usage{"s": {Calls: 4}}}, now), nil)
+	is.Equal(p.uses["s"].Calls, 9)
+	is.Equal(p.take(&message{Boot: 6, Seq: 1}, now), []string{"s"}) // it started again
+	is.Equal(len(p.uses), 0)
+}
--- a/internal/placement/projection.go
+++ b/internal/placement/projection.go
@@ -84,7 +84,7 @@
 	ends := append([]time.Duration{p.now}, p.ends...)
 	slices.Sort(ends)
 	for _, t := range ends {
-		extra.Began = t + ready
+		extra.Began = t + 1 + ready // just after the end
 		if p.Peak(&extra) <= memory {
 			return t
 		}
--- /dev/null
+++ b/internal/router/fake_test.go
@@ -0,0 +1,247 @@
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+
+	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/router"
+	"github.com/samphirestream/samphirestream/internal/upstream"
+)
+
+// behaviour is what a fake server does with a call.
+type behaviour func(ctx context.Context, o *router.Outgoing) (*router.Reply, error)
+
+// fakeServers implements router.Servers in memory.
+type fakeServers struct {
+	mu       sync.Mutex
+	calls    []string // "server" for calls, "prefill server", "free handle"
+	on       map[string]behaviour
+	prefills map[string]behaviour
+	gone     map[string]bool
+	deadline []time.Duration
+}
+
+func newFakeServers() *fakeServers {
+	return &fakeServers{on: map[string]behaviour{}, prefills: map[string]behaviour{}, gone: map[string]bool{}}
+}
+
+func (f *fakeServers) note(s string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, s)
+}
+
+func (f *fakeServers) noted() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.calls)
+}
+
+func (f *fakeServers) set(id string, b behaviour) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.on[id] = b
+}
+
+var errRefusedConnection = &upstream.Error{Stage: upstream.NotSent, Err: errors.New("connection refused")}
+
+func (f *fakeServers) Call(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+	f.mu.Lock()
+	gone, b := f.gone[o.Server.ID], f.on[o.Server.ID]
+	f.deadline = append(f.deadline, o.TimeLeft)
+	f.mu.Unlock()
+	if gone {
+		return nil, errRefusedConnection
+	}
+	f.note(o.Server.ID)
+	if b == nil {
+		b = ok("ok")
+	}
+	return b(ctx, o)
+}
+
+const prefillTime = 100 * time.Millisecond
+
+func (f *fakeServers) Prefill(ctx context.Context, o *router.Outgoing) (*router.Handle, *router.Reply, error) {
+	f.mu.Lock()
+	gone, b := f.gone[o.Server.ID], f.prefills[o.Server.ID]
+	f.mu.Unlock()
+	if gone {
+		return nil, nil, errRefusedConnection
+	}
+	f.note("prefill " + o.Server.ID)
+	if b != nil {
+		reply, err := b(ctx, o)
+		return nil, reply, err
+	}
+	time.Sleep(prefillTime)
+	return &router.Handle{ID: "h", Server: o.Server, Tokens: o.Call.PromptTokens, Made: time.Now()}, &router.Reply{Status: 200}, nil
+}
+
+func (f *fakeServers) Free(_ context.Context, h *router.Handle) error {
+	f.note("free " + h.ID)
+	return nil
+}
+
+func (f *fakeServers) Reach(_ context.Context, s *directory.Server) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone[s.ID] {
+		return errRefusedConnection
+	}
+	return nil
+}
+
+func (f *fakeServers) Forget(*directory.Server) {}
+
+func reply(status int, body io.Reader) *router.Reply {
+	return &router.Reply{Status: status, Header: http.Header{"Proof": {"p"}}, Proven: true, Length: -1, Body: io.NopCloser(body)}
+}
+
+func ok(body string) behaviour {
+	return func(context.Context, *router.Outgoing) (*router.Reply, error) {
+		return reply(200, bytes.NewBufferString(body)), nil
+	}
+}
+
+func fails(status int) behaviour {
+	return func(context.Context, *router.Outgoing) (*router.Reply, error) {
+		return reply(status, bytes.NewBufferString("bad")), nil
+	}
+}
+
+func refuses(context.Context, *router.Outgoing) (*router.Reply, error) {
+	r := reply(503, &bytes.Buffer{})
+	r.NotRun, r.Proven = true, false
+	return r, nil
+}
+
+func unanswered(context.Context, *router.Outgoing) (*router.Reply, error) {
+	return nil, &upstream.Error{Stage: upstream.Unanswered, Err: errors.New("reset")}
+}
+
+func silent(ctx context.Context, _ *router.Outgoing) (*router.Reply, error) {
+	<-ctx.Done()
+	return nil, &upstream.Error{Stage: upstream.Unanswered, Timeout: true, Err: ctx.Err()}
+}
+
+// brokenReader gives some bytes and then an error.
+type brokenReader struct{ *bytes.Buffer }
+
+func (b brokenReader) Read(p []byte) (int, error) {
+	if n, _ := b.Buffer.Read(p); n > 0 {
+		return n, nil
+	}
+	return 0, &upstream.Error{Stage: upstream.Broken, Err: errors.New("reset")}
+}
+
+func breaksAfter(events string) behaviour {
+	return func(context.Context, *router.Outgoing) (*router.Reply, error) {
+		return reply(200, brokenReader{bytes.NewBufferString(events)}), nil
+	}
+}
+
+var nopLogger = log.NewNopLogger()
+
+// answerTo records what a caller gets.
+type answerTo struct {
+	status  int
+	body    bytes.Buffer
+	aborted bool
+	failure *apierror.Error
+	starts  int
+}
+
+func (a *answerTo) Start(status int, _ http.Header, _ int) { a.status = status; a.starts++ }
+func (a *answerTo) Write(p []byte) error                   { a.body.Write(p); return nil }
+func (a *answerTo) Abort()                                 { a.aborted = true }
+func (a *answerTo) Fail(e *apierror.Error)                 { a.failure = e }
+
+// fleet is a router before fake servers.
+type fleet struct {
+	*router.Router
+	servers   *fakeServers
+	directory *directory.Directory
+}
+
+const (
+	timeout = 800 * time.Millisecond
+	target  = 900 * time.Millisecond
+	gap     = 300 * time.Millisecond
+)
+
+func newFleet() *fleet {
+	f := &fleet{servers: newFakeServers(), directory: directory.New()}
+	route := func(prefix string, k directory.Kind, service string, attempts int, resumable bool) directory.Route {
+		return directory.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: k, Timeout: timeout, Target: target, Gap: gap,
+			Shares: []directory.Share{{Service: service, Weight: 1}}, Attempts: attempts, Resumable: resumable,
+		}
+	}
+	stream := route("/stream/", directory.Streaming, "llm", 1, false)
+	resumable := route("/resumable/", directory.Streaming, "llm", 2, true)
+	stream.Timeout, resumable.Timeout = 14*time.Second, 14*time.Second
+	f.directory.SetConfig(&directory.Config{
+		Version: 1,
+		Routes: []directory.Route{
+			route("/safe/", directory.Idempotent, "app", 2, false), route("/once/", directory.Once, "app", 1, false), stream, resumable,
+		},
+		Services: map[string]*directory.Service{
+			"app": {Name: "app"},
+			"llm": {Name: "llm", Engine: &directory.Engine{Slots: 12, MemoryTokens: 65_000, HandleLife: 500 * time.Millisecond, EventTokens: 72}},
+		},
+	})
+	for _, id := range []string{"a1", "a2", "a3"} {
+		f.directory.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc"})
+	}
+	for _, id := range []string{"p1", "p2"} {
+		f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+	}
+	for _, id := range []string{"d1", "d2", "d3"} {
+		f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Decode})
+	}
+	f.Router = router.New(f.directory, f.servers, router.Options{
+		DataCentre: "dc", Queue: 100, Budget: router.BudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
+	}, log.NewNopLogger())
+	return f
+}
+
+var requests int
+
+// call sends one request and waits for its answer.
+func (f *fleet) call(ctx context.Context, path string) *answerTo {
+	requests++
+	c := &router.Call{
+		ID: fmt.Sprint("r", requests), Method: "POST", Target: path, Host: "h", Path: path, Header: http.Header{},
+		Arrived: time.Now(), Deadline: time.Now().Add(14 * time.Second), PromptTokens: 5000, MaxTokens: 9000, Expected: 5000,
+	}
+	a := &answerTo{}
+	f.Serve(ctx, c, a)
+	return a
+}
+
+// play runs a test in virtual time.
+func play(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		test(t, f)
+		f.servers.mu.Lock()
+		f.servers.gone = map[string]bool{}
+		f.servers.mu.Unlock()
+		time.Sleep(2 * time.Second) // probes of suspected servers end
+	})
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -48,7 +48,7 @@
 			if last == nil {
 				last = apierror.NotRun(apierror.KindUnavailable, "no server of "+x.service+" is available", "retry after the delay").After(absentRetry)
 			}
-			x.fail(last)
+			x.fail(x.worst(last))
 			return
 		}
 		out := x.tryPlain(ctx, b)
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -12,7 +12,10 @@
 	prefillTolerance = 4
 	// projectedShare is the part of the memory that the projection may use; the
 	// rest is for answers that are longer than foreseen.
-	projectedShare = 0.85
+	projectedShare = 0.92
+	// waitTrust is the part of the predicted wait for decode room that counts
+	// against a request on arrival.
+	waitTrust = 0.6
 	// slotCost is the slowdown of an answer by one more request in its batch.
 	slotCost = 10
 	// slotTolerance makes decode servers equal within one request.
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,375 @@
+package router_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/loadshare"
+	"github.com/samphirestream/samphirestream/internal/router"
+)
+
+func (f *fleet) all(ids []string, b behaviour) {
+	for _, id := range ids {
+		f.servers.set(id, b)
+	}
+}
+
+var (
+	plainServers  = []string{"a1", "a2", "a3"}
+	decodeServers = []string{"d1", "d2", "d3"}
+)
+
+func TestNoConfigurationIsNotNotFound(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		a := f.call(context.Background(), "/nowhere/")
+		is.Equal(a.failure.Kind, apierror.KindNotFound)
+		empty := *f
+		empty.Router = router.New(directory.New(), f.servers, router.Options{}, nopLogger)
+		a = empty.call(context.Background(), "/safe/")
+		is.Equal(a.failure.Kind, apierror.KindStarting)
+		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
+		is.True(a.failure.RetryAfter > 0)
+	})
+}
+
+func TestCallsThatRunOnceAreNotRepeated(t *testing.T) {
+	for name, b := range map[string]behaviour{"unanswered": unanswered, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.all(plainServers, b)
+				a := f.call(context.Background(), "/once/x")
+				is.Equal(a.failure.Outcome, apierror.OutcomeUnknown)
+				is.Equal(len(f.servers.noted()), 1)
+			})
+		})
+	}
+}
+
+// TestUnrunCallsGoElsewhere lets two of three servers refuse or be gone: the
+// call may be sent on, also one that may run once only.
+func TestUnrunCallsGoElsewhere(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.servers.set("a1", refuses)
+		f.servers.gone["a2"] = true
+		a := f.call(context.Background(), "/once/x")
+		is.Equal(a.status, 200)
+		is.Equal(a.body.String(), "ok")
+	})
+}
+
+func TestRefusalsSayNotRun(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(plainServers, refuses)
+		a := f.call(context.Background(), "/once/x")
+		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
+		is.True(a.failure.RetryAfter > 0)
+	})
+}
+
+// TestRefusalAfterAFailureIsNoPromise lets the first server fail, so that it may
+// have run the call, and the others refuse.
+func TestRefusalAfterAFailureIsNoPromise(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		first := true
+		b := func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			if first {
+				first = false
+				return unanswered(ctx, o)
+			}
+			return refuses(ctx, o)
+		}
+		f.all(plainServers, b)
+		a := f.call(context.Background(), "/safe/x")
+		is.Equal(a.failure.Outcome, apierror.OutcomeUnknown)
+	})
+}
+
+func TestIdempotentCallsAreRepeated(t *testing.T) {
+	for name, b := range map[string]behaviour{"failure": fails(500), "unanswered": unanswered, "silent": silent, "broken": breaksAfter("o")} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				began := time.Now()
+				n := 0
+				f.all(plainServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+					if n++; n == 1 {
+						return b(ctx, o)
+					}
+					return ok("ok")(ctx, o)
+				})
+				a := f.call(context.Background(), "/safe/x")
+				is.Equal(a.body.String(), "ok")
+				is.True(time.Since(began) < timeout)
+				is.Equal(len(f.servers.noted()), 2)
+			})
+		})
+	}
+}
+
+func TestTheServersOwnFailureIsPassedOn(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(plainServers, fails(500))
+		a := f.call(context.Background(), "/safe/x")
+		is.Equal(a.status, 500)
+		is.Equal(a.body.String(), "bad")
+		is.Equal(len(f.servers.noted()), 2) // the route's number of attempts
+	})
+}
+
+func TestResponsesWithoutProofAreNotPassedOn(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(plainServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			r, _ := ok("forged")(ctx, o)
+			r.Proven = false
+			return r, nil
+		})
+		a := f.call(context.Background(), "/once/x")
+		is.Equal(a.failure.Outcome, apierror.OutcomeUnknown)
+		is.Equal(a.body.Len(), 0)
+	})
+}
+
+func TestTimeoutsOfTheRouteEndCalls(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(plainServers, silent)
+		began := time.Now()
+		a := f.call(context.Background(), "/once/x")
+		is.Equal(a.failure.Kind, apierror.KindDeadline)
+		is.Equal(time.Since(began), timeout)
+		is.True(f.servers.deadline[0] <= timeout)
+	})
+}
+
+// TestBacklogBeyondTheTargetIsRefused fills the servers, as the other entries
+// tell, beyond what they do within the target. The call must not reach them.
+func TestBacklogBeyondTheTargetIsRefused(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(plainServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			time.Sleep(100 * time.Millisecond)
+			return ok("ok")(ctx, o)
+		})
+		for range 60 {
+			is.Equal(f.call(context.Background(), "/once/x").status, 200)
+		}
+		for _, id := range plainServers {
+			f.Others(id, []loadshare.Usage{{Calls: 100}})
+		}
+		sent := len(f.servers.noted())
+		began := time.Now()
+		a := f.call(context.Background(), "/once/x")
+		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(len(f.servers.noted()), sent)
+		for _, id := range plainServers {
+			f.Others(id, nil)
+		}
+		is.Equal(f.call(context.Background(), "/once/x").status, 200)
+	})
+}
+
+func TestRetriesKeepToTheBudget(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(plainServers, fails(500))
+		for range 200 {
+			f.call(context.Background(), "/safe/x")
+		}
+		extra := len(f.servers.noted()) - 200
+		is.True(extra > 0)
+		is.True(float64(extra) <= 0.2*200+50)
+	})
+}
+
+func TestLeavingServersGetNoWork(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, id := range []string{"a1", "a2"} {
+			f.directory.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc", Draining: true, Revision: 2})
+		}
+		f.directory.Remove("a3", 0)
+		a := f.call(context.Background(), "/once/x")
+		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
+		is.Equal(len(f.servers.noted()), 0)
+	})
+}
+
+const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+func TestStreamsGoThroughPrefillAndDecode(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			is.Equal(o.Source.ID, "h")
+			is.True(o.Once)
+			return ok(events)(ctx, o)
+		})
+		a := f.call(context.Background(), "/stream/x")
+		is.Equal(a.body.String(), events)
+		is.True(!a.aborted)
+		noted := f.servers.noted()
+		is.Equal(len(noted), 2)
+		is.True(strings.HasPrefix(noted[0], "prefill p"))
+	})
+}
+
+// TestRefusedDecodeKeepsThePrefill lets the first decode server refuse: the
+// result of the prefill goes to another one.
+func TestRefusedDecodeKeepsThePrefill(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		n := 0
+		f.all(decodeServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			if n++; n == 1 {
+				return refuses(ctx, o)
+			}
+			return ok(events)(ctx, o)
+		})
+		a := f.call(context.Background(), "/stream/x")
+		is.Equal(a.body.String(), events)
+		is.Equal(len(f.servers.noted()), 3) // one prefill, two offers
+	})
+}
+
+// TestDecodeServersThatAreGoneCostNoPrefill takes decode servers away: those are
+// found during the prefill, and get no further work.
+func TestDecodeServersThatAreGoneCostNoPrefill(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, ok(events))
+		f.servers.gone["d1"], f.servers.gone["d2"] = true, true
+		for range 10 {
+			is.Equal(f.call(context.Background(), "/stream/x").body.String(), events)
+		}
+		for _, s := range f.servers.noted() {
+			is.True(!strings.HasPrefix(s, "free"))
+		}
+		f.servers.mu.Lock()
+		f.servers.gone = map[string]bool{}
+		f.servers.mu.Unlock()
+		time.Sleep(time.Second) // probes reach them again
+		for range 20 {
+			f.call(context.Background(), "/stream/x")
+		}
+		is.True(strings.Contains(strings.Join(f.servers.noted(), " "), "d1"))
+	})
+}
+
+func TestPrefillsThatNobodyDecodesAreFreed(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, refuses)
+		a := f.call(context.Background(), "/stream/x")
+		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
+		is.True(a.failure.RetryAfter > 0)
+		time.Sleep(time.Second)
+		is.True(strings.Contains(strings.Join(f.servers.noted(), " "), "free h"))
+	})
+}
+
+func TestSilentPrefillServersAreReplaced(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, ok(events))
+		f.servers.prefills["p1"] = silent
+		began := time.Now()
+		for range 4 {
+			is.Equal(f.call(context.Background(), "/stream/x").body.String(), events)
+		}
+		is.True(time.Since(began) < 4*target)
+	})
+}
+
+// TestBrokenStreamsDoNotLookComplete breaks a stream off within its second event,
+// which must not be passed on.
+func TestBrokenStreamsDoNotLookComplete(t *testing.T) {
+	for name, b := range map[string]behaviour{
+		"reset":                 breaksAfter("id: 1\ndata: a\n\nid: 2\nda"),
+		"ended within an event": ok("id: 1\ndata: a\n\nid: 2\nda"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.all(decodeServers, b)
+				a := f.call(context.Background(), "/stream/x")
+				is.True(a.aborted)
+				is.Equal(a.body.String(), "id: 1\ndata: a\n\n")
+				is.Equal(len(f.servers.noted()), 2) // it may run once only
+			})
+		})
+	}
+}
+
+func TestResumableStreamsGoOnElsewhere(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		n := 0
+		var first string
+		f.all(decodeServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			if n++; n == 1 {
+				first = o.Server.ID
+				return breaksAfter("id: 1\ndata: a\n\nid: 2\nda")(ctx, o)
+			}
+			is.Equal(o.LastEvent, "1")
+			is.True(o.Server.ID != first)
+			return ok("id: 2\ndata: b\n\n")(ctx, o)
+		})
+		a := f.call(context.Background(), "/resumable/x")
+		is.True(!a.aborted)
+		is.Equal(a.body.String(), events)
+		is.Equal(a.starts, 1)
+	})
+}
+
+func TestCallersThatLeaveEndTheirWork(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		ended := make(chan time.Time, 1)
+		f.all(plainServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			<-ctx.Done()
+			ended <- time.Now()
+			return silent(ctx, o)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		left := time.Now().Add(50 * time.Millisecond)
+		time.AfterFunc(50*time.Millisecond, cancel)
+		f.call(ctx, "/safe/x")
+		is.Equal(<-ended, left)
+		is.Equal(len(f.servers.noted()), 1) // and nothing is repeated for it
+	})
+}
+
+// TestReturnedCallersStandBehind fills the decode servers so far that there is
+// room for one more: it goes to the request that can still be on time.
+func TestReturnedCallersStandBehind(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, ok(events))
+		is.Equal(f.call(context.Background(), "/stream/x").status, 200) // shows how long callers wait
+		for _, id := range decodeServers {
+			f.Others(id, []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 44_000, Answer: 9000}}}})
+		}
+		returned := &answerTo{}
+		c := &router.Call{
+			ID: "back", Method: "POST", Target: "/stream/x", Host: "h", Path: "/stream/x", PromptTokens: 5000, MaxTokens: 9000, Expected: 5000,
+			Arrived: time.Now(), Deadline: time.Now().Add(9 * time.Second),
+		}
+		f.Serve(context.Background(), c, returned)
+		is.Equal(returned.failure.Outcome, apierror.OutcomeNotRun)
+		is.Equal(f.call(context.Background(), "/stream/x").status, 200)
+	})
+}
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,210 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// scripted serves each connection with one function.
+func scripted(t *testing.T, serve ...func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for _, f := range serve {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// answer reads a request and writes some bytes.
+func answer(c net.Conn, r *bufio.Reader, response string) *http.Request {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.WriteString(c, response)
+	return req
+}
+
+func testClient() *Client {
+	return New(Options{DialTimeout: time.Second, Silence: 2 * time.Second, FreshIdle: time.Second, MaxIdle: 4})
+}
+
+func get(c *Client, addr string) (string, error) {
+	resp, err := c.Send(context.Background(), addr, &Request{Method: http.MethodGet, Target: "/x", Host: "h"})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+const okOne = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+
+func TestConnectionsAreKept(t *testing.T) {
+	is := is.New(t)
+	addr := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		answer(c, r, okOne)
+		answer(c, r, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n")
+	})
+	c := testClient()
+	for _, want := range []string{"one", "two"} {
+		got, err := get(c, addr)
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+}
+
+// TestUncleanConnectionsAreNotReused sends bytes after a response, closes in
+// place of a length, and announces the close: each time the next request takes a
+// new connection.
+func TestUncleanConnectionsAreNotReused(t *testing.T) {
+	for name, first := range map[string]string{
+		"bytes after the response": okOne + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nforge",
+		"closed by the server":     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\none",
+		"no idle time left":        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=0\r\n\r\none",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := scripted(t,
+				func(c net.Conn, r *bufio.Reader) { answer(c, r, first); _, _ = r.ReadByte() },
+				func(c net.Conn, r *bufio.Reader) { answer(c, r, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo") })
+			c := testClient()
+			for _, want := range []string{"one", "two"} {
+				got, err := get(c, addr)
+				is.NoErr(err)
+				is.Equal(got, want)
+			}
+		})
+	}
+}
+
+func TestStagesOfFailures(t *testing.T) {
+	for name, tc := range map[string]struct {
+		serve func(net.Conn, *bufio.Reader)
+		want  Stage
+	}{
+		"closed after the request": {func(c net.Conn, r *bufio.Reader) { answer(c, r, "") }, Unanswered},
+		"no response at all":       {func(c net.Conn, r *bufio.Reader) { answer(c, r, "garbage\r\n\r\n") }, Unanswered},
+		"cut within the body":      {func(c net.Conn, r *bufio.Reader) { answer(c, r, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none") }, Broken},
+		"cut within a chunk": {func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\none")
+		}, Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := get(testClient(), scripted(t, tc.serve))
+			is.True(err != nil)
+			is.Equal(StageOf(err), tc.want)
+		})
+	}
+}
+
+func TestResetWithoutLengthIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	addr := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		answer(c, r, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := get(testClient(), addr)
+	is.True(err != nil)
+}
+
+func TestRefusedConnectionsSendNothing(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	_, err = get(testClient(), addr)
+	is.Equal(StageOf(err), NotSent)
+	is.Equal(StageOf(testClient().Reach(context.Background(), addr)), NotSent)
+}
+
+// TestStrayResponsesAreSkipped lets the response to an earlier request arrive
+// late, where the next one is due.
+func TestStrayResponsesAreSkipped(t *testing.T) {
+	is := is.New(t)
+	addr := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		answer(c, r, "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"+
+			"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine")
+	})
+	resp, err := testClient().Send(context.Background(), addr, &Request{
+		Method: http.MethodGet, Target: "/", Host: "h",
+		Matches: func(h http.Header) bool { return h.Get("Id") == "mine" },
+	})
+	is.NoErr(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "mine")
+}
+
+func TestCancelledRequestsCloseTheirConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	addr := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		answer(c, r, "")
+		_, _ = r.ReadByte() // returns when the client closes
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := testClient().Send(ctx, addr, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	is.Equal(StageOf(err), Unanswered)
+	<-closed
+}
+
+func TestRequestsAreSentUnchanged(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	addr := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		var b strings.Builder
+		for {
+			line, err := r.ReadString('\n')
+			b.WriteString(line)
+			if err != nil || line == "\r\n" {
+				break
+			}
+		}
+		got <- b.String()
+		_, _ = io.WriteString(c, okOne)
+	})
+	resp, err := testClient().Send(context.Background(), addr, &Request{Method: "POST", Target: "/a%2Fb?q=%20", Host: "h.example", Header: http.Header{"X-One": {"1"}}})
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(<-got, "POST /a%2Fb?q=%20 HTTP/1.1\r\nHost: h.example\r\nX-One: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+func TestKeepAliveTimeout(t *testing.T) {
+	is := is.New(t)
+	d, ok := keepAliveTimeout("max=5, timeout=7")
+	is.True(ok)
+	is.Equal(d, 7*time.Second)
+	for _, v := range []string{"", "timeout", "timeout=x", "timeout=-1"} {
+		_, ok := keepAliveTimeout(v)
+		is.True(!ok)
+	}
+}
