--- /dev/null
+++ b/test/soak/caller_test.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// result is what one caller saw of one request.
+type result struct {
+	id, path string
+	status   int // 0: no answer
+	complete bool
+	body     string
+	proof    string
+	entry    int
+}
+
+// callers send requests to the entries over connections that they keep, until
+// ctx ends.
+type callers struct {
+	fleet  *fleet
+	client *http.Client
+
+	mu      sync.Mutex
+	results []result
+	next    int
+}
+
+func newCallers(f *fleet) *callers {
+	return &callers{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}}
+}
+
+var paths = []string{"/once/x", "/safe/x", "/stream/x", "/resumable/x"}
+
+func (c *callers) run(ctx context.Context, seed uint64, n int) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+			for ctx.Err() == nil {
+				c.call(rnd.IntN(len(c.fleet.entries)), paths[rnd.IntN(len(paths))])
+				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// requestTimeout is the time for which callers wait.
+const requestTimeout = 4 * time.Second
+
+// call sends one request and keeps what came back.
+func (c *callers) call(entry int, path string) result {
+	c.mu.Lock()
+	c.next++
+	id := fmt.Sprintf("%s-%d", c.fleet.name, c.next)
+	c.mu.Unlock()
+	out := result{id: id, path: path, entry: entry}
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.entries[entry].callers+path, strings.NewReader("body of "+id))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = "h.example"
+	req.GetBody = nil // net/http repeats nothing
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "4000")
+	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
+		req.Header.Set("Token-Usage", "100,864")
+	}
+	resp, err := c.client.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		out.status, out.proof = resp.StatusCode, resp.Header.Get("Response-Seal")
+		b, err := io.ReadAll(bufio.NewReader(resp.Body))
+		out.body, out.complete = string(b), err == nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, out)
+	return out
+}
+
+// check judges all results by the promises.
+func (c *callers) check(t *testing.T, h *history) {
+	t.Helper()
+	ok := 0
+	for _, r := range c.results {
+		for _, broken := range verdicts(r, h.count(r.id)) {
+			t.Errorf("request %s (%s by entry %d, status %d, complete %v): %s", r.id, r.path, r.entry, r.status, r.complete, broken)
+		}
+		if r.status == http.StatusOK && r.complete {
+			ok++
+		}
+	}
+	for _, l := range h.late {
+		t.Errorf("request %s: sent to a server that had left", l)
+	}
+	t.Logf("%d requests, %d answered whole", len(c.results), ok)
+}
+
+// verdicts names the promises that a result breaks.
+func verdicts(r result, runs int) []string {
+	var out []string
+	stream := strings.HasPrefix(r.path, "/stream") || strings.HasPrefix(r.path, "/resumable")
+	once := strings.HasPrefix(r.path, "/once") || strings.HasPrefix(r.path, "/stream")
+	if once && runs > 1 {
+		out = append(out, fmt.Sprintf("ran %d times", runs))
+	}
+	promised := r.status == 503 || r.status == 429 || r.status == 408 || r.status == 421
+	if promised && runs > 0 && once {
+		out = append(out, "was refused as not run, and ran")
+	}
+	if r.status >= 200 && r.status < 300 && r.proof != "seal-"+r.id {
+		out = append(out, "has another request's proof: "+r.proof)
+	}
+	if r.status == http.StatusOK && r.complete && !stream && r.body != plainAnswer(r.id, "body of "+r.id) {
+		out = append(out, "got "+r.body)
+	}
+	if r.status == http.StatusOK && stream {
+		whole := ""
+		for k := 1; k <= pieces; k++ {
+			whole += piece(r.id, k)
+		}
+		if !strings.HasPrefix(whole, r.body) || r.complete && r.body != whole {
+			out = append(out, "got the events "+r.body)
+		}
+	}
+	if r.status == http.StatusNotFound {
+		out = append(out, "its route was not found")
+	}
+	return out
+}
