Shift servers between prefill and decode; tell present ages in full messages

Full messages repeated the ages of runs as they were when they changed, so that others took runs for younger and smaller than they were; TestFullMessagesTellPresentAges failed first. One process ever gives orders.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -70,6 +70,9 @@
 	MemoryTokens int
 	// HandleLife is the time for which a prefill result waits to be fetched.
 	HandleLife time.Duration
+	// Switch is the time that a server needs to change its stage; 0 where it can
+	// not.
+	Switch time.Duration
 	// EventTokens is the number of tokens in one event of an answer.
 	EventTokens int
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -215,7 +215,7 @@
 		}
 	}
 	for server, u := range s.own {
-		m.Uses[server] = u
+		m.Uses[server] = u.at(time.Now())
 	}
 	all := map[string]bool{}
 	for pool := range s.waits {
@@ -239,7 +239,7 @@
 	s.seq++
 	m := &message{Boot: s.boot, Seq: s.seq, Uses: map[string]Usage{}}
 	for server := range s.dirty {
-		m.Uses[server] = s.own[server]
+		m.Uses[server] = s.own[server].at(time.Now())
 	}
 	m.Waits = s.agesLocked(s.dirtyWaits, time.Now())
 	s.dirty, s.dirtyWaits = map[string]bool{}, map[string]bool{}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -220,3 +220,40 @@
 	is.Equal(p.take(&message{Boot: 6, Seq: 1}, now), []string{"s"}) // it started again
 	is.Equal(len(p.uses), 0)
 }
+
+// TestFullMessagesTellPresentAges repeats a use a second and more after it began:
+// the receivers must not take the run for a younger one, since its memory grows.
+func TestFullMessagesTellPresentAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &network{conns: map[string]*memoryConn{}}
+		var mu sync.Mutex
+		var heard Usage
+		receiver := New(n.listen(b), Options{
+			Self: b, Seeds: []string{a}, Waiting: func(string, []time.Time) {},
+			Changed: func(_ string, others []Usage) {
+				mu.Lock()
+				defer mu.Unlock()
+				heard = Usage{}
+				if len(others) > 0 {
+					heard = others[0]
+				}
+			},
+		}, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(context.Background())
+		go receiver.Run(ctx)
+		sender := n.start(a)
+		time.Sleep(2 * fullEvery)
+		sender.Use("s", Usage{
+			Runs: []Run{{Prompt: 1, Answer: 1, Began: time.Now()}}, AwayUntil: time.Now().Add(5 * time.Second),
+		})
+		time.Sleep(3*fullEvery + gather)
+		mu.Lock()
+		is.True(heard.Runs[0].Age >= 2000)
+		is.True(heard.Away <= 3000)
+		mu.Unlock()
+		cancel()
+		sender.stop()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -14,6 +14,12 @@
 	PrefillTokens int `cbor:"2,keyasint,omitempty"`
 	// Runs are the requests that decode or are about to.
 	Runs []Run `cbor:"3,keyasint,omitempty"`
+	// Away is the time in milliseconds for which the server takes no work, since
+	// this entry ordered it to change its stage.
+	Away int64 `cbor:"4,keyasint,omitempty"`
+	// AwayUntil is the end of that time at the sender; Away is derived from it
+	// when a message is sent.
+	AwayUntil time.Time `cbor:"-"`
 }
 
 // Run is one request at a decode server.
@@ -23,9 +29,28 @@
 	Answer int `cbor:"2,keyasint"`
 	// Age is the time in milliseconds since the answer began; negative before.
 	Age int64 `cbor:"3,keyasint"`
+	// Began is when the answer begins at the sender; Age is derived from it when a
+	// message is sent.
+	Began time.Time `cbor:"-"`
 }
 
-func (u Usage) empty() bool { return u.Calls == 0 && u.PrefillTokens == 0 && len(u.Runs) == 0 }
+// at returns the usage with the times of a message that is sent now.
+func (u Usage) at(now time.Time) Usage {
+	runs := make([]Run, len(u.Runs))
+	for i, r := range u.Runs {
+		r.Age = now.Sub(r.Began).Milliseconds()
+		runs[i] = r
+	}
+	u.Runs = runs
+	if !u.AwayUntil.IsZero() {
+		u.Away = max(0, u.AwayUntil.Sub(now).Milliseconds())
+	}
+	return u
+}
+
+func (u Usage) empty() bool {
+	return u.Calls == 0 && u.PrefillTokens == 0 && u.AwayUntil.IsZero() && len(u.Runs) == 0
+}
 
 // message is one datagram.
 type message struct {
--- a/internal/loadshare/message_test.go
+++ b/internal/loadshare/message_test.go
@@ -10,7 +10,7 @@
 func changeMessage(runs int) *message {
 	u := Usage{PrefillTokens: 5000}
 	for i := range runs {
-		u.Runs = append(u.Runs, Run{Prompt: 5000 + i, Answer: 5000, Age: 1500})
+		u.Runs = append(u.Runs, Run{Prompt: 5000 + i, Answer: 5000, Age: 1500, Began: time.Now()})
 	}
 	return &message{Boot: time.Now().UnixMilli(), Seq: 100_000, Uses: map[string]Usage{"i-0123456789": u}}
 }
--- a/internal/placement/projection.go
+++ b/internal/placement/projection.go
@@ -63,6 +63,9 @@
 	return sum
 }
 
+// Now returns the expected memory in use.
+func (p *Projection) Now() float64 { return p.at(p.now) }
+
 // Peak returns the highest expected memory during the life of a further run,
 // with that run. Memory only falls at the end of a run, so that the peak lies
 // just before one.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -101,6 +101,13 @@
 // Own returns what this entry has in use, with its runs.
 func (s *Server) Own() (Use, []*Run) { return s.own, s.runs }
 
+// PrefillTokens returns the prompt tokens that wait or are read at a counted
+// server.
+func (s *Server) PrefillTokens() int { return s.others.Tokens + s.own.Tokens }
+
+// Pieces returns the memory of the server.
+func (s *Server) Pieces() int { return s.report.PiecesTotal }
+
 // Project foresees the memory of a counted server.
 func (s *Server) Project(now time.Duration) *Projection {
 	return NewProjection(now, 1/s.Step(), s.runs, s.otherRuns)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -20,6 +20,15 @@
 	// its peers.
 	calls, others atomic.Int64
 	health        health
+	// awayUntil is the end of a change of stage, in Unix nanoseconds; 0 without.
+	awayUntil atomic.Int64
+	// orderedHere is set where this process gave the order.
+	orderedHere atomic.Bool
+}
+
+// away returns the time for which the server still changes its stage.
+func (b *backend) away(now time.Time) time.Duration {
+	return max(0, time.Duration(b.awayUntil.Load()-now.UnixNano()))
 }
 
 // capacity is what a model server holds at once.
@@ -130,6 +139,7 @@
 
 func (f *fleet) stage(service string, stage directory.Stage, out []*backend) []*backend {
 	f.sync()
+	now := time.Now()
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, s := range f.lastSeen.Services[service] {
@@ -141,7 +151,7 @@
 		if limits != nil {
 			b.view.Count(limits.slots, limits.tokens)
 		}
-		b.view.Down = limits == nil || s.Draining || !b.health.usable()
+		b.view.Down = limits == nil || s.Draining || !b.health.usable() || b.away(now) > 0
 		out = append(out, b)
 	}
 	return out
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -90,6 +90,15 @@
 // Load is what a server says of itself in a response.
 type Load struct{ Running, Waiting, Slots int }
 
+// Order changes the stage of a server.
+type Order struct {
+	Server *directory.Server
+	Stage  directory.Stage
+	// Holder names the one process that gives orders, and Fence rises with each.
+	Holder string
+	Fence  int64
+}
+
 // Servers is the port to the backend servers. Errors are *upstream.Error; a
 // server that refused is no error.
 type Servers interface {
@@ -103,6 +112,8 @@
 	// Reach opens a connection to a server for its next call, to learn in time
 	// whether the server can be reached.
 	Reach(ctx context.Context, s *directory.Server) error
+	// Order tells a server to change its stage.
+	Order(ctx context.Context, o *Order) error
 	// Forget drops the idle connections to a server.
 	Forget(s *directory.Server)
 }
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -113,6 +113,11 @@
 	return nil
 }
 
+func (f *fakeServers) Order(_ context.Context, o *router.Order) error {
+	f.note(fmt.Sprint("order ", o.Server.ID, " ", o.Stage, " ", o.Holder))
+	return nil
+}
+
 func (f *fakeServers) Forget(*directory.Server) {}
 
 func reply(status int, body io.Reader) *router.Reply {
@@ -209,7 +214,7 @@
 		},
 		Services: map[string]*directory.Service{
 			"app": {Name: "app"},
-			"llm": {Name: "llm", Engine: &directory.Engine{Slots: 12, MemoryTokens: 65_000, HandleLife: 500 * time.Millisecond, EventTokens: 72}},
+			"llm": {Name: "llm", Engine: &directory.Engine{Slots: 12, MemoryTokens: 65_000, HandleLife: 500 * time.Millisecond, EventTokens: 72, Switch: 6 * time.Second}},
 		},
 	})
 	for _, id := range []string{"a1", "a2", "a3"} {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -160,6 +160,7 @@
 
 // Others takes what the other entries have in use at a server.
 func (r *Router) Others(server string, others []loadshare.Usage) {
+	r.fleet.sync()
 	b := r.fleet.get(server)
 	if b == nil {
 		return
@@ -170,6 +171,9 @@
 	calls := 0
 	for _, o := range others {
 		calls += o.Calls
+		if o.Away > 0 {
+			b.awayUntil.Store(time.Now().Add(time.Duration(o.Away) * time.Millisecond).UnixNano())
+		}
 		u.Tokens += o.PrefillTokens
 		u.Slots += len(o.Runs)
 		for _, run := range o.Runs {
@@ -192,12 +196,15 @@
 		return
 	}
 	out := loadshare.Usage{Calls: int(b.calls.Load())}
+	if b.orderedHere.Load() {
+		out.AwayUntil = time.Unix(0, b.awayUntil.Load())
+	}
 	if b.server.Load().Stage != directory.Plain {
 		r.dispatch.Update(b, func(now time.Duration, v *placement.Server) {
 			use, runs := v.Own()
 			out.PrefillTokens = use.Tokens
 			for _, run := range runs {
-				out.Runs = append(out.Runs, loadshare.Run{Prompt: run.Prompt, Answer: int(run.Answer), Age: (now - run.Began).Milliseconds()})
+				out.Runs = append(out.Runs, loadshare.Run{Prompt: run.Prompt, Answer: int(run.Answer), Began: time.Now().Add(run.Began - now)})
 			}
 		})
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -391,3 +391,36 @@
 		}
 	})
 }
+
+// TestIdlePrefillServersBecomeDecodeServers fills the decode memory while no
+// prompt waits: the holder orders one prefill server over, and no entry sends to
+// it until it is back.
+func TestIdlePrefillServersBecomeDecodeServers(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, ok(events))
+		for _, id := range []string{"p3", "p4"} {
+			f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+		}
+		for _, id := range decodeServers {
+			f.Others(id, []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 50_000, Answer: 1_000_000}}}})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		balanced := make(chan struct{})
+		go func() { f.Balance(ctx, "holder"); close(balanced) }()
+		time.Sleep(4 * time.Second)
+		cancel()
+		<-balanced
+		noted := f.servers.noted()
+		is.True(len(noted) >= 1)
+		is.True(strings.HasPrefix(noted[0], "order p"))
+		ordered := strings.Fields(noted[0])[1]
+		for range 10 {
+			f.call(context.Background(), "/stream/x")
+		}
+		for _, s := range f.servers.noted() {
+			is.True(s != "prefill "+ordered)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
