--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -28,7 +28,7 @@
 	step        = 600 * time.Microsecond
 	target      = 900 * time.Millisecond
 	lag         = 3 * time.Millisecond // between entries
-	share       = 0.85
+	share       = 0.9
 	trust       = 0.6
 )
 
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -27,7 +27,7 @@
 	// order.
 	leastLoad = 0.3
 	// leastStageShare is the part of a service's servers that each stage keeps.
-	leastStageShare = 0.2
+	leastStageShare = 0.25
 	// leastStage is the number of servers that each stage keeps, so that the loss
 	// of one leaves some.
 	leastStage = 2
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -12,7 +12,7 @@
 	prefillTolerance = 4
 	// projectedShare is the part of the memory that the projection may use; the
 	// rest is for answers that are longer than foreseen.
-	projectedShare = 0.85
+	projectedShare = 0.9
 	// waitTrust is the part of the predicted wait for decode room that counts
 	// against a request on arrival.
 	waitTrust = 0.6
