Look at a pool's servers under the dispatcher's lock when stages are balanced

The dispatcher now shows a pool with its lock held, in place of one lock for each server. Decisions are unchanged.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -92,7 +92,7 @@
 }
 
 // Assignment is the pair of servers that a job was given. The servers count the
-// job until Release, EndDecode and PrefillEnded.
+// job until GiveBack, or until EndDecode and PrefillEnded.
 type Assignment[S Server] struct {
 	Prefill, Decode S
 	Use             Use
@@ -194,6 +194,15 @@
 	change(d.Now(), s.View())
 }
 
+// Look shows the servers of a pool with the lock held.
+func (d *Dispatcher[S]) Look(model string, see func(now time.Duration, prefills, decodes []S)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.poolLocked(model)
+	p.refresh()
+	see(d.Now(), p.prefills, p.decodes)
+}
+
 // Pump dispatches what has room now.
 func (d *Dispatcher[S]) Pump() {
 	d.mu.Lock()
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -8,7 +8,6 @@
 
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/pause"
-	"github.com/samphirestream/samphirestream/internal/placement"
 )
 
 // Bounds of the balance between prefill and decode servers.
@@ -106,33 +105,31 @@
 func (r *Router) sample(service string, l *[2]stageLoad) {
 	busy, used, total := 0, 0.0, 0.0
 	l[0].servers, l[1].servers = 0, 0
-	now := time.Now()
 	prefills, decodes := 0, 0
-	for _, b := range r.fleet.Prefills(service, nil) {
-		if b.away(now) > 0 {
-			l[1].servers++ // it will be one of the others
-			continue
-		}
-		l[0].servers++
-		prefills++
-		r.dispatch.Update(b, func(_ time.Duration, v *placement.Server) {
-			if v.PrefillTokens() > 0 {
-				busy++
+	wall := time.Now()
+	r.dispatch.Look(service, func(now time.Duration, prefillServers, decodeServers []*backend) {
+		for _, b := range prefillServers {
+			if b.away(wall) > 0 {
+				l[1].servers++ // it will be one of the others
+				continue
 			}
-		})
-	}
-	for _, b := range r.fleet.Decodes(service, nil) {
-		if b.away(now) > 0 {
 			l[0].servers++
-			continue
+			prefills++
+			if b.view.PrefillTokens() > 0 {
+				busy++
+			}
 		}
-		l[1].servers++
-		decodes++
-		r.dispatch.Update(b, func(now time.Duration, v *placement.Server) {
-			used += v.Project(now).Now()
-			total += float64(v.Pieces())
-		})
-	}
+		for _, b := range decodeServers {
+			if b.away(wall) > 0 {
+				l[0].servers++
+				continue
+			}
+			l[1].servers++
+			decodes++
+			used += b.view.Project(now).Now()
+			total += float64(b.view.Pieces())
+		}
+	})
 	// The load of a stage is spread over the servers that it will have.
 	if prefills > 0 {
 		l[0].load += sampleGain * (float64(busy)/float64(l[0].servers) - l[0].load)
@@ -172,15 +169,17 @@
 func (r *Router) idlest(service string, stage directory.Stage) *backend {
 	var best *backend
 	least := 0
-	for _, b := range r.fleet.stage(service, stage, nil) {
-		use := 0
-		usable := false
-		r.dispatch.Update(b, func(_ time.Duration, v *placement.Server) {
-			use, usable = v.PrefillTokens()+v.SlotsUsed(), !v.Down
-		})
-		if usable && (best == nil || use < least) {
-			best, least = b, use
+	r.dispatch.Look(service, func(_ time.Duration, prefills, decodes []*backend) {
+		servers := prefills
+		if stage == directory.Decode {
+			servers = decodes
 		}
-	}
+		for _, b := range servers {
+			use := b.view.PrefillTokens() + b.view.SlotsUsed()
+			if !b.view.Down && (best == nil || use < least) {
+				best, least = b, use
+			}
+		}
+	})
 	return best
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -461,3 +461,20 @@
 		is.True(broken <= 2) // in the 6 s that this takes
 	})
 }
+
+// TestBalanceBesideRequests balances while requests are placed; the race detector
+// judges.
+func TestBalanceBesideRequests(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		f.all(decodeServers, ok(events))
+		ctx, cancel := context.WithCancel(context.Background())
+		balanced := make(chan struct{})
+		go func() { f.Balance(ctx, "holder"); close(balanced) }()
+		for range 40 {
+			f.call(context.Background(), "/stream/x")
+			time.Sleep(17 * time.Millisecond)
+		}
+		cancel()
+		<-balanced
+	})
+}
