Keep the stage that gives a server well below the other one

The balance left two of nine servers to prefill, as a shift only had to keep the order of the loads; prompts come in bursts, which queue at two servers long before their mean load is high.

Change: after a shift the giving stage may have 0.6 of the other's load at most.

--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -22,6 +22,10 @@
 	// idleShare is the load of one stage, as a part of the other's, below which a
 	// server of it is given to the other.
 	idleShare = 0.55
+	// afterShare is the load that the giving stage may have after a shift, as a part
+	// of the other's: work comes in bursts, which queue at few servers long before
+	// their mean load is high.
+	afterShare = 0.6
 	// leastLoad is the load of the busier stage below which nothing is worth an
 	// order.
 	leastLoad = 0.3
@@ -46,8 +50,8 @@
 	load    float64
 }
 
-// shift returns the stage that should give a server to the other, if any. A
-// shift must not turn the balance round.
+// shift returns the stage that should give a server to the other, if any. The
+// giving stage stays well below the other one.
 func shift(prefill, decode stageLoad) (from directory.Stage, ok bool) {
 	least := max(leastStage, int(leastStageShare*float64(prefill.servers+decode.servers)+0.5))
 	gives := func(idle, busy stageLoad) bool {
@@ -55,7 +59,7 @@
 			return false
 		}
 		n, m := float64(idle.servers), float64(busy.servers)
-		return idle.load*n/(n-1) < busy.load*m/(m+1)
+		return idle.load*n/(n-1) < afterShare*busy.load*m/(m+1)
 	}
 	switch {
 	case gives(prefill, decode):
--- a/internal/router/balance_test.go
+++ b/internal/router/balance_test.go
@@ -21,6 +21,8 @@
 		"the least share is kept":          {stageLoad{9, 0.1}, stageLoad{35, 1}, directory.Plain, false},
 		"the least number is kept":         {stageLoad{2, 0.1}, stageLoad{3, 1}, directory.Plain, false},
 		"would turn round":                 {stageLoad{3, 0.5}, stageLoad{4, 0.92}, directory.Plain, false},
+		"few idle servers would queue":     {stageLoad{3, 0.3}, stageLoad{6, 0.6}, directory.Plain, false},
+		"few idle servers, almost unused":  {stageLoad{3, 0.15}, stageLoad{6, 0.6}, directory.Prefill, true},
 		"no server of the busy stage":      {stageLoad{5, 0}, stageLoad{0, 1}, directory.Plain, false},
 	} {
 		t.Run(name, func(t *testing.T) {
