Refuse requests by their targets while a stage has no server

An option of the dispatcher gives jobs up in that time too. The test takes all servers of one stage away, for good and for a third of the target; it failed first.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,6 +51,10 @@
 	// against a job on arrival. A job that is refused misses its target for sure,
 	// one that waits in vain is refused later.
 	WaitTrust float64
+	// GiveUpWhileDown has jobs given up by their targets also while no prefill or
+	// no decode server takes work. Without it they wait for one, and their targets
+	// count from its return.
+	GiveUpWhileDown bool
 	// Announce, if not nil, is told the arrivals of the jobs that wait in a pool
 	// when they change. It is called with the dispatcher's lock held.
 	Announce func(model string, arrivals []time.Duration)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -142,7 +142,7 @@
 	p.prefillViews = views(p.prefills, p.prefillViews)
 	p.decodeViews = views(p.decodes, p.decodeViews)
 	down := !anyUp(p.prefillViews) || !anyUp(p.decodeViews)
-	if p.down && !down {
+	if p.down && !down && !p.d.options.GiveUpWhileDown {
 		p.sched.Renew(p.d.Now())
 	}
 	p.down = down
@@ -227,13 +227,13 @@
 func (p *pool[S]) pump() {
 	defer p.announce()
 	p.refresh()
+	if !p.down || p.d.options.GiveUpWhileDown {
+		p.giveUp()
+	}
 	if p.down {
 		p.wake(maxPumpWait)
 		return
 	}
-	for d := p.sched.Doomed(p.d.Now()); d != nil; d = p.sched.Doomed(p.d.Now()) {
-		d.Owner.(*Waiter[S]).refuse()
-	}
 	for d := p.sched.Head(); d != nil; d = p.sched.Head() {
 		w := d.Owner.(*Waiter[S])
 		plan, ok := p.plan(w)
@@ -250,6 +250,13 @@
 	}
 }
 
+// giveUp refuses the jobs that can not meet their targets any more.
+func (p *pool[S]) giveUp() {
+	for d := p.sched.Doomed(p.d.Now()); d != nil; d = p.sched.Doomed(p.d.Now()) {
+		d.Owner.(*Waiter[S]).refuse()
+	}
+}
+
 // plan chooses servers. Servers where the job failed are the last resort.
 //
 // While jobs wait at several processes, all of them would take the same room as
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,7 +65,7 @@
 	}
 	r.dispatch = dispatch.New(r.fleet, dispatch.Options{
 		Queue: o.Queue, NewPlanner: newPlanner, Policy: newPolicy(), Order: schedule.FIFO{},
-		MemoryShare: projectedShare, WaitTrust: waitTrust, Announce: r.announce,
+		MemoryShare: projectedShare, WaitTrust: waitTrust, GiveUpWhileDown: true, Announce: r.announce,
 	})
 	return r
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -195,6 +195,37 @@
 	})
 }
 
+// TestCallsWithoutAServerOfAStageAreRefused takes all servers of one stage away
+// for longer than callers wait for a first event, and then for a moment.
+func TestCallsWithoutAServerOfAStageAreRefused(t *testing.T) {
+	for name, ids := range map[string][]string{"prefill": {"p1", "p2"}, "decode": decodeServers} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.all(decodeServers, ok(events))
+				known := f.directory.Current().Servers
+				remove := func() {
+					for _, id := range ids {
+						f.directory.Remove(id, 0)
+					}
+				}
+				remove()
+				began := time.Now()
+				a := f.call(context.Background(), "/stream/x")
+				is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
+				is.True(a.failure.RetryAfter > 0)
+				is.True(time.Since(began) <= target)
+				time.AfterFunc(target/3, func() {
+					for _, id := range ids {
+						f.directory.Put(known[id])
+					}
+				})
+				is.Equal(f.call(context.Background(), "/stream/x").status, 200)
+			})
+		})
+	}
+}
+
 func TestLeavingServersGetNoWork(t *testing.T) {
 	play(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
