Tell the other entries of idle servers that change their stage

An order had been given to it, and the entry that gave it told the others, but they dropped what they heard: a usage counts as empty by the end of the absence, which messages do not hold, and the idlest server, which is the one that gets orders, has nothing else in use. To the others it stayed the idlest prefill server.

Change: a usage that is received has the times that its sender gave it; lengths of time stand in messages only. TestServersThatAreAwayAreTold failed first.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -71,20 +71,23 @@
 	*Share
 	mu    sync.Mutex
 	calls map[string]int
+	away  map[string]time.Time
 	waits int
 	stop  context.CancelFunc
 }
 
 func (n *network) start(addr string, seeds ...string) *member {
-	m := &member{calls: map[string]int{}}
+	m := &member{calls: map[string]int{}, away: map[string]time.Time{}}
 	m.Share = New(n.listen(addr), Options{
 		Self: addr, Seeds: seeds,
 		Changed: func(server string, others []Usage) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.calls[server] = 0
+			delete(m.away, server)
 			for _, u := range others {
 				m.calls[server] += u.Calls
+				m.away[server] = u.AwayUntil
 			}
 		},
 		Waiting: func(_ string, arrivals []time.Time) {
@@ -105,6 +108,12 @@
 	return m.calls[server]
 }
 
+func (m *member) awayUntil(server string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.away[server]
+}
+
 func (m *member) waiting() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -160,6 +169,23 @@
 	})
 }
 
+// TestServersThatAreAwayAreTold orders an idle server to change its stage: there
+// is nothing else to tell of it.
+func TestServersThatAreAwayAreTold(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		until := time.Now().Add(6 * time.Second)
+		m[0].Use("s", Usage{AwayUntil: until})
+		for range 4 {
+			time.Sleep(time.Second)
+			is.True(m[1].awayUntil("s").Sub(until).Abs() < 10*time.Millisecond)
+		}
+		m[0].Use("s", Usage{})
+		time.Sleep(time.Second)
+		is.True(m[1].awayUntil("s").IsZero())
+	})
+}
+
 func TestLostDatagramsAreRepaired(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
@@ -249,8 +275,8 @@
 		})
 		time.Sleep(3*fullEvery + gather)
 		mu.Lock()
-		is.True(heard.Runs[0].Age >= 2000)
-		is.True(heard.Away <= 3000)
+		is.True(time.Since(heard.Runs[0].Began) >= 2*time.Second)
+		is.True(time.Until(heard.AwayUntil) <= 3*time.Second)
 		mu.Unlock()
 		cancel()
 		sender.stop()
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -14,12 +14,11 @@
 	PrefillTokens int `cbor:"2,keyasint,omitempty"`
 	// Runs are the requests that decode or are about to.
 	Runs []Run `cbor:"3,keyasint,omitempty"`
-	// Away is the time in milliseconds for which the server takes no work, since
-	// this entry ordered it to change its stage.
-	Away int64 `cbor:"4,keyasint,omitempty"`
-	// AwayUntil is the end of that time at the sender; Away is derived from it
-	// when a message is sent.
+	// AwayUntil is the end of the time for which the server takes no work, since
+	// the entry ordered it to change its stage; zero without an order.
 	AwayUntil time.Time `cbor:"-"`
+	// Away is the rest of that time in milliseconds, in messages only.
+	Away int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Run is one request at a decode server.
@@ -27,14 +26,15 @@
 	Prompt int `cbor:"1,keyasint"`
 	// Answer is the expected length in tokens.
 	Answer int `cbor:"2,keyasint"`
-	// Age is the time in milliseconds since the answer began; negative before.
-	Age int64 `cbor:"3,keyasint"`
-	// Began is when the answer begins at the sender; Age is derived from it when a
-	// message is sent.
+	// Began is when the answer began or will begin.
 	Began time.Time `cbor:"-"`
+	// Age is the time in milliseconds since then, in messages only; negative
+	// before.
+	Age int64 `cbor:"3,keyasint"`
 }
 
-// at returns the usage with the times of a message that is sent now.
+// at returns the usage for a message that is sent now. Messages hold lengths of
+// time, since the clocks of VMs differ.
 func (u Usage) at(now time.Time) Usage {
 	runs := make([]Run, len(u.Runs))
 	for i, r := range u.Runs {
@@ -48,6 +48,17 @@
 	return u
 }
 
+// received sets the times of a usage from those of a message that arrived now.
+func (u Usage) received(now time.Time) Usage {
+	for i, r := range u.Runs {
+		u.Runs[i].Began = now.Add(-time.Duration(r.Age) * time.Millisecond)
+	}
+	if u.Away > 0 {
+		u.AwayUntil = now.Add(time.Duration(u.Away) * time.Millisecond)
+	}
+	return u
+}
+
 func (u Usage) empty() bool {
 	return u.Calls == 0 && u.PrefillTokens == 0 && u.AwayUntil.IsZero() && len(u.Runs) == 0
 }
@@ -137,7 +148,7 @@
 	p.seq = max(p.seq, m.Seq)
 	for s, u := range m.Uses {
 		if p.seqs[s] < m.Seq {
-			p.uses[s], p.seqs[s] = u, m.Seq
+			p.uses[s], p.seqs[s] = u.received(now), m.Seq
 			changed = append(changed, s)
 		}
 	}
--- a/internal/router/explained_test.go
+++ b/internal/router/explained_test.go
@@ -48,7 +48,8 @@
 		is := is.New(t)
 		var out bytes.Buffer
 		f = f.logged(t, &out)
-		runs := []loadshare.Run{{Prompt: 30_000, Answer: 9000}, {Prompt: 30_000, Answer: 9000}}
+		began := time.Now()
+		runs := []loadshare.Run{{Prompt: 30_000, Answer: 9000, Began: began}, {Prompt: 30_000, Answer: 9000, Began: began}}
 		for _, id := range decodeServers {
 			f.Others(id, []loadshare.Usage{{Runs: runs}})
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -172,14 +172,14 @@
 	calls := 0
 	for _, o := range others {
 		calls += o.Calls
-		if o.Away > 0 {
-			b.awayUntil.Store(time.Now().Add(time.Duration(o.Away) * time.Millisecond).UnixNano())
+		if !o.AwayUntil.IsZero() {
+			b.awayUntil.Store(o.AwayUntil.UnixNano())
 		}
 		u.Tokens += o.PrefillTokens
 		u.Slots += len(o.Runs)
 		for _, run := range o.Runs {
 			runs = append(runs, &placement.Run{
-				Prompt: run.Prompt, Answer: float64(run.Answer), Began: now - time.Duration(run.Age)*time.Millisecond,
+				Prompt: run.Prompt, Answer: float64(run.Answer), Began: now + time.Until(run.Began),
 			})
 		}
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -392,7 +392,7 @@
 		f.all(decodeServers, ok(events))
 		is.Equal(f.call(context.Background(), "/stream/x").status, 200) // shows how long callers wait
 		for _, id := range decodeServers {
-			f.Others(id, []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 44_000, Answer: 9000}}}})
+			f.Others(id, []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 44_000, Answer: 9000, Began: time.Now()}}}})
 		}
 		returned := &answerTo{}
 		c := &router.Call{
@@ -434,7 +434,7 @@
 			f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
 		}
 		for _, id := range decodeServers {
-			f.Others(id, []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 50_000, Answer: 1_000_000}}}})
+			f.Others(id, []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 50_000, Answer: 1_000_000, Began: time.Now()}}}})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		balanced := make(chan struct{})
@@ -509,3 +509,28 @@
 		<-balanced
 	})
 }
+
+// TestServersThatRefuseWhileIdleAreLeftOut has one of two prefill servers refuse
+// all requests with nothing to do, as one does that changes its stage. It seems
+// the best place for each request.
+func TestServersThatRefuseWhileIdleAreLeftOut(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.all(decodeServers, ok(events))
+		f.servers.prefills = map[string]behaviour{"p1": func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			r, err := refuses(ctx, o)
+			r.Load = &router.Load{Slots: 12}
+			return r, err
+		}}
+		for range 20 {
+			is.Equal(f.call(context.Background(), "/stream/x").status, 200)
+		}
+		refused := 0
+		for _, call := range f.servers.noted() {
+			if call == "prefill p1" {
+				refused++
+			}
+		}
+		is.True(refused <= 5) // 20 calls last over 2 s
+	})
+}
