Share among entries which servers do not answer

An entry now tells that a server does not answer; the others probe it at once and give it no work until it answers, which takes a round trip if only the first entry is cut off.

Suspected servers are probed until they are reached, replaced or gone, and no longer for a minute only: one that was cut off for longer while its registration lived got no work again (TestServersThatComeBackLateAreUsed failed first).

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -72,12 +72,14 @@
 	mu    sync.Mutex
 	calls map[string]int
 	away  map[string]time.Time
-	waits int
-	stop  context.CancelFunc
+	// unreachable are the servers that another member does not reach.
+	unreachable map[string]bool
+	waits       int
+	stop        context.CancelFunc
 }
 
 func (n *network) start(addr string, seeds ...string) *member {
-	m := &member{calls: map[string]int{}, away: map[string]time.Time{}}
+	m := &member{calls: map[string]int{}, away: map[string]time.Time{}, unreachable: map[string]bool{}}
 	m.Share = New(n.listen(addr), Options{
 		Self: addr, Seeds: seeds,
 		Changed: func(server string, others []Usage) {
@@ -85,7 +87,9 @@
 			defer m.mu.Unlock()
 			m.calls[server] = 0
 			delete(m.away, server)
+			delete(m.unreachable, server)
 			for _, u := range others {
+				m.unreachable[server] = m.unreachable[server] || u.Unreachable
 				m.calls[server] += u.Calls
 				m.away[server] = u.AwayUntil
 			}
@@ -186,6 +190,20 @@
 	})
 }
 
+func TestUnreachableServersAreTold(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		for _, unreachable := range []bool{true, false} {
+			m[0].Use("s", Usage{Unreachable: unreachable})
+			time.Sleep(2 * fullEvery)
+			m[1].mu.Lock()
+			got := m[1].unreachable["s"]
+			m[1].mu.Unlock()
+			is.Equal(got, unreachable)
+		}
+	})
+}
+
 func TestLostDatagramsAreRepaired(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -17,6 +17,8 @@
 	// AwayUntil is the end of the time for which the server takes no work, since
 	// the entry ordered it to change its stage; zero without an order.
 	AwayUntil time.Time `cbor:"-"`
+	// Unreachable is set while the server does not answer the entry.
+	Unreachable bool `cbor:"5,keyasint,omitempty"`
 	// Away is the rest of that time in milliseconds, in messages only.
 	Away int64 `cbor:"4,keyasint,omitempty"`
 }
@@ -60,7 +62,7 @@
 }
 
 func (u Usage) empty() bool {
-	return u.Calls == 0 && u.PrefillTokens == 0 && u.AwayUntil.IsZero() && len(u.Runs) == 0
+	return u.Calls == 0 && u.PrefillTokens == 0 && u.AwayUntil.IsZero() && !u.Unreachable && len(u.Runs) == 0
 }
 
 // message is one datagram.
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -20,6 +20,8 @@
 	// its peers.
 	calls, others atomic.Int64
 	health        health
+	// toldUnreachable is set while another entry does not reach the server.
+	toldUnreachable atomic.Bool
 	// awayUntil is the end of a change of stage, in Unix nanoseconds; 0 without.
 	awayUntil atomic.Int64
 	// orderedHere is set where this process gave the order.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -169,9 +169,10 @@
 	var u placement.Use
 	var runs []*placement.Run
 	now := r.dispatch.Now()
-	calls := 0
+	calls, unreachable := 0, false
 	for _, o := range others {
 		calls += o.Calls
+		unreachable = unreachable || o.Unreachable
 		if !o.AwayUntil.IsZero() {
 			b.awayUntil.Store(o.AwayUntil.UnixNano())
 		}
@@ -184,6 +185,7 @@
 		}
 	}
 	b.others.Store(int64(calls))
+	r.suspectedElsewhere(b, unreachable)
 	if b.server.Load().Stage == directory.Plain {
 		return
 	}
@@ -196,7 +198,8 @@
 	if r.options.Peers == nil {
 		return
 	}
-	out := loadshare.Usage{Calls: int(b.calls.Load())}
+	current := r.fleet.get(b.Name()) == b
+	out := loadshare.Usage{Calls: int(b.calls.Load()), Unreachable: current && !b.health.usable()}
 	if b.orderedHere.Load() {
 		out.AwayUntil = time.Unix(0, b.awayUntil.Load())
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -559,3 +559,52 @@
 		is.True(refused <= 5) // 20 calls last over 2 s
 	})
 }
+
+// TestServersThatOthersDoNotReachAreProbed has other entries tell of a server
+// that is gone and of one that only they do not reach.
+func TestServersThatOthersDoNotReachAreProbed(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		suspected := func() (ids []string) {
+			for _, s := range f.Snapshot().Servers {
+				if s.Suspected {
+					ids = append(ids, s.ID)
+				}
+			}
+			return ids
+		}
+		f.servers.leave("d1", "a1")
+		for _, id := range []string{"d1", "d2", "a1", "a2"} {
+			f.Others(id, []loadshare.Usage{{}, {Unreachable: true}})
+		}
+		time.Sleep(time.Millisecond)
+		is.Equal(suspected(), []string{"a1", "d1"})
+		f.servers.leave()
+		time.Sleep(time.Second)
+		is.Equal(suspected(), nil)
+		f.servers.leave("d1") // what is told again is no news
+		f.Others("d1", []loadshare.Usage{{Unreachable: true}})
+		time.Sleep(time.Millisecond)
+		is.Equal(suspected(), nil)
+		f.Others("d1", nil)
+		f.Others("d1", []loadshare.Usage{{Unreachable: true}})
+		time.Sleep(time.Millisecond)
+		is.Equal(suspected(), []string{"d1"})
+	})
+}
+
+// TestServersThatComeBackLateAreUsed cuts all servers off for minutes, while they
+// stay registered.
+func TestServersThatComeBackLateAreUsed(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.servers.leave(plainServers...)
+		is.True(f.call(context.Background(), "/safe/x").failure != nil)
+		time.Sleep(5 * time.Minute)
+		f.servers.leave()
+		time.Sleep(time.Second)
+		for _, s := range f.Snapshot().Servers {
+			is.True(!s.Suspected)
+		}
+	})
+}
