Keep one retry budget for both routers

The entry of our own surroundings and the router of the platform each had one. Package retry counts over a sliding window for both.

TestResumesKeepToTheBudget held its bound, which is for one window, over calls that last three: the budget was anchored at a time of the process that lies after the test's virtual time, so that its window never moved. The calls now fall into one window, and the bound is the same. A budget that always gives makes it fail.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/release"
+	"github.com/samphirestream/samphirestream/internal/retry"
 )
 
 // quotas enforce the limits of providers at this entry.
@@ -20,15 +21,15 @@
 	limits  release.Limits
 	limiter *rate.Limiter
 	active  int
-	// retries is the budget of retries.
-	retries float64
+	retries *retry.Budget
 }
 
-// Retry budget of a provider: each request earns a share of a retry, and an
-// idle provider keeps a few.
+// Retry budget of a provider: each request of the last seconds earns a share of a
+// retry, and an idle provider has a few.
 const (
-	retryShare = 0.2
-	maxRetries = 10.0
+	retryWindow = 10 * time.Second
+	retryShare  = 0.2
+	maxRetries  = 10.0
 )
 
 func (q *quotas) init() { q.use = map[string]*quota{} }
@@ -50,7 +51,7 @@
 		}
 	}
 	u.active++
-	u.retries = min(u.retries+retryShare, maxRetries)
+	u.retries.Request()
 	return func() { q.release(u) }, nil
 }
 
@@ -64,7 +65,9 @@
 func (q *quotas) forProvider(p release.Provider) *quota {
 	u, ok := q.use[p.Name]
 	if !ok {
-		u = &quota{retries: maxRetries}
+		u = &quota{retries: retry.NewBudget(retry.Options{
+			Window: retryWindow, Ratio: retryShare, Slack: func() float64 { return maxRetries },
+		})}
 		q.use[p.Name] = u
 	}
 	if u.limits != p.Limits {
@@ -81,10 +84,5 @@
 func (q *quotas) takeRetry(p release.Provider) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	u := q.forProvider(p)
-	if u.retries < 1 {
-		return false
-	}
-	u.retries--
-	return true
+	return q.forProvider(p).retries.Take(1)
 }
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,32 @@
+package retry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRetriesAreAShareOfTheRequestsInTheWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBudget(Options{Window: 10 * time.Second, Ratio: 0.2, Slack: func() float64 { return 3 }})
+		take := func() (n int) {
+			for b.Take(1) {
+				n++
+			}
+			return n
+		}
+		is.Equal(take(), 3)
+		for range 100 {
+			b.Request()
+		}
+		is.True(!b.Take(21))
+		is.Equal(take(), 20)
+		time.Sleep(9 * time.Second)
+		is.Equal(take(), 0)
+		time.Sleep(2 * time.Second) // the window has passed, with its requests
+		is.Equal(take(), 3)
+	})
+}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/metrics"
+	"github.com/samphirestream/samphirestream/internal/retry"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
 
@@ -22,7 +23,7 @@
 	route   *directory.Route
 	service string
 	engine  *directory.Engine
-	budget  *budget
+	budget  *retry.Budget
 	// until is the time at which the caller, or the route, gives the call up.
 	until time.Time
 	// tried names the servers that failed this call.
@@ -138,7 +139,7 @@
 
 // extra takes further arrivals from the budget of the service.
 func (x *exchange) extra(arrivals int) bool {
-	if x.budget.take(time.Now(), arrivals) {
+	if x.budget.Take(arrivals) {
 		x.router.count.retries.Add(1)
 		return true
 	}
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -244,16 +245,15 @@
 	return f
 }
 
-var requests int
+var requests atomic.Int64
 
 // lastRequest is the ID of the request that call sent last.
-func lastRequest() string { return fmt.Sprint("r", requests) }
+func lastRequest() string { return fmt.Sprint("r", requests.Load()) }
 
 // call sends one request and waits for its answer.
 func (f *fleet) call(ctx context.Context, path string) *answerTo {
-	requests++
 	c := &router.Call{
-		ID: lastRequest(), Method: "POST", Target: path, Host: "h", Path: path, Header: http.Header{},
+		ID: fmt.Sprint("r", requests.Add(1)), Method: "POST", Target: path, Host: "h", Path: path, Header: http.Header{},
 		Arrived: time.Now(), Deadline: time.Now().Add(14 * time.Second), PromptTokens: 5000, MaxTokens: 9000, Expected: 5000,
 	}
 	a := &answerTo{}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,19 +17,38 @@
 	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/loadshare"
 	"github.com/samphirestream/samphirestream/internal/placement"
+	"github.com/samphirestream/samphirestream/internal/retry"
 	"github.com/samphirestream/samphirestream/internal/schedule"
 )
 
 // Options configure a router.
 type Options struct {
 	DataCentre string
-	Budget     BudgetOptions
+	// Budget bounds the attempts beyond the first of each request at one service,
+	// counted over all entries.
+	Budget BudgetOptions
 	// Queue bounds the requests that wait for servers.
 	Queue int
 	// Peers is nil for a single entry.
 	Peers Peers
 }
 
+// BudgetOptions bound the attempts beyond the first of each request, counted
+// over all entries.
+type BudgetOptions struct {
+	// Window is the time over which attempts are counted.
+	Window time.Duration
+	// Ratio is the number of further attempts for each request.
+	Ratio float64
+	// Slack is the number of further attempts that all entries together have
+	// besides.
+	Slack float64
+}
+
+// budgetMargin is the part of the budget that is used, since the entries'
+// windows and their number are known only roughly.
+const budgetMargin = 0.8
+
 // Peers is the port to the other entries.
 type Peers interface {
 	// Use tells the others what this entry has in use at a server.
@@ -52,7 +71,7 @@
 	count     counters
 
 	mu      sync.Mutex // guards the fields below
-	budgets map[string]*budget
+	budgets map[string]*retry.Budget
 	// patiences are the longest times that callers of each route wait.
 	patiences map[string]time.Duration
 }
@@ -61,7 +80,7 @@
 func New(d *directory.Directory, servers Servers, o Options, logger log.Logger) *Router {
 	r := &Router{
 		options: o, directory: d, servers: servers, log: logger,
-		fleet: newFleet(d, o.DataCentre), budgets: map[string]*budget{}, patiences: map[string]time.Duration{}, count: newCounters(),
+		fleet: newFleet(d, o.DataCentre), budgets: map[string]*retry.Budget{}, patiences: map[string]time.Duration{}, count: newCounters(),
 	}
 	r.dispatch = dispatch.New(r.fleet, dispatch.Options{
 		Queue: o.Queue, NewPlanner: newPlanner, Policy: newPolicy(), Order: schedule.FIFO{},
@@ -116,7 +135,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, x.until, errTimeout)
 	defer cancel()
 	x.budget = r.budget(x.service)
-	x.budget.request(time.Now())
+	x.budget.Request()
 	if svc := snap.Config.Services[x.service]; svc != nil && svc.Engine != nil && x.route.Kind == directory.Streaming {
 		x.engine = svc.Engine
 		x.generate(ctx)
@@ -132,12 +151,16 @@
 // reading takes some milliseconds once the store answers.
 const startRetry = 500 * time.Millisecond
 
-func (r *Router) budget(service string) *budget {
+func (r *Router) budget(service string) *retry.Budget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b, ok := r.budgets[service]
 	if !ok {
-		b = newBudget(r.options.Budget, r.entries)
+		o := r.options.Budget
+		b = retry.NewBudget(retry.Options{
+			Window: o.Window, Ratio: budgetMargin * o.Ratio,
+			Slack: func() float64 { return budgetMargin * o.Slack / float64(max(1, r.entries())) },
+		})
 		r.budgets[service] = b
 	}
 	return b
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -481,16 +482,21 @@
 	})
 }
 
-// TestResumesKeepToTheBudget breaks every stream: each resume has the prompt read
-// again and decodes again, and both are arrivals beyond the first.
+// TestResumesKeepToTheBudget breaks every stream of one window: each resume has
+// the prompt read again and decodes again, and both are arrivals beyond the first.
 func TestResumesKeepToTheBudget(t *testing.T) {
 	play(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		f.all(decodeServers, breaksAfter("id: 1\ndata: a\n\n"))
 		const calls = 100
+		var all sync.WaitGroup
+		began := time.Now()
 		for range calls {
-			f.call(context.Background(), "/resumable/x")
+			time.Sleep(testOptions.Budget.Window / calls / 2)
+			all.Go(func() { f.call(context.Background(), "/resumable/x") })
 		}
+		all.Wait()
+		is.True(time.Since(began) < testOptions.Budget.Window)
 		extra := len(f.servers.noted()) - 2*calls // the first prefill and decode of each
 		is.True(extra > 0)
 		is.True(float64(extra) <= 0.2*calls+50)
