Ask a server that broke a stream whether it still takes connections

Change: the connection is tried at once when a stream breaks off; a server that refuses it is suspected before the resume is placed, which then waits for room elsewhere.

--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -65,13 +65,26 @@
 			err = errors.New("the stream ended within an event")
 			fallthrough
 		case err != nil:
-			x.tried[b.Name()] = true
-			x.warn("stream broken", "server", b.Name(), "events", x.events, "err", err)
+			x.streamBroken(b, err)
 			return broken(err)
 		}
 	}
 }
 
+// streamBroken notes the early end of a stream. A server that crashed seems to be
+// empty, so that it is asked at once whether it still takes connections; it
+// answers in a round trip, or refuses.
+func (x *exchange) streamBroken(b *backend, err error) {
+	x.tried[b.Name()] = true
+	x.warn("stream broken", "server", b.Name(), "events", x.events, "err", err)
+	if errors.Is(err, context.Canceled) {
+		return // broken off here
+	}
+	if unreached := x.router.reach(context.Background(), b); unreached != nil {
+		x.suspect(b, unreached)
+	}
+}
+
 // relayFailure passes on the server's own failure.
 func (x *exchange) relayFailure(reply *Reply) error {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlainBody))
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -423,6 +423,42 @@
 	})
 }
 
+// TestResumesPassOverServersThatCrashed has the server of a stream crash while the
+// others are full for a moment: it then seems to be empty.
+func TestResumesPassOverServersThatCrashed(t *testing.T) {
+	play(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		full := []loadshare.Usage{{Runs: []loadshare.Run{{Prompt: 60_000, Answer: 9000, Began: time.Now()}}}}
+		others := func(crashed string, u []loadshare.Usage) {
+			for _, id := range decodeServers {
+				if id != crashed {
+					f.Others(id, u)
+				}
+			}
+		}
+		crashed := ""
+		f.all(decodeServers, func(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+			if crashed != "" {
+				return ok("id: 2\ndata: b\n\n")(ctx, o)
+			}
+			crashed = o.Server.ID
+			f.servers.leave(crashed)
+			others(crashed, full)
+			time.AfterFunc(300*time.Millisecond, func() { others(crashed, nil) })
+			return breaksAfter("id: 1\ndata: a\n\n")(ctx, o)
+		})
+		a := f.call(context.Background(), "/resumable/x")
+		is.Equal(a.body.String(), events)
+		prefills := 0
+		for _, call := range f.servers.noted() {
+			if strings.HasPrefix(call, "prefill") {
+				prefills++
+			}
+		}
+		is.Equal(prefills, 2)
+	})
+}
+
 func TestCallersThatLeaveEndTheirWork(t *testing.T) {
 	play(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
