--- a/internal/ctl/docs_test.go
+++ b/internal/ctl/docs_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -74,3 +75,30 @@
 	}
 	return out
 }
+
+// TestDocumentedExplanations follows the operators' page from the IDs of failed
+// requests to their causes, with the logs of the runs that it shows.
+func TestDocumentedExplanations(t *testing.T) {
+	raw, err := os.ReadFile(filepath.FromSlash(operations))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ request, log, cause string }{
+		{"fd5c22e9d7c69c8e", "refused.log", "refused by prediction"},
+		{"77c8470ba9db42fb", "unsafe.log", "attempt failed"},
+		{"386d7d4cf816edf4", "stream.log", "retry refused"},
+	} {
+		t.Run(tc.log, func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			code := Main(t.Context(), []string{"explain", tc.request, filepath.Join("testdata", tc.log)}, &out, &errOut)
+			is.Equal(code, ExitOK)
+			is.True(strings.Contains(out.String(), "\ndecided by: "+tc.cause+" "))
+			for line := range strings.Lines(out.String()) {
+				if line = strings.TrimSpace(line); !strings.Contains(string(raw), "    "+line) {
+					t.Errorf("%s does not show %q", operations, line)
+				}
+			}
+		})
+	}
+}
