--- a/internal/logging/budget_test.go
+++ b/internal/logging/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -87,3 +88,18 @@
 	bounded.Close()
 	is.Equal(strings.Count(out.String(), `"failed"`), urgent)
 }
+
+// BenchmarkLine writes one line about a request; with more than about 50,000 lines
+// it measures those that are left out.
+func BenchmarkLine(b *testing.B) {
+	out := NewBounded(io.Discard)
+	defer out.Close()
+	logger, err := New(out, "entry-1", "info")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = level.Warn(logger).Log("msg", fmt.Sprint("failed ", b.N%100), "request", "9c41d07be2a35f68", "ms", 17, "cause", "the first token would come too late", "config", 12)
+	}
+}
