Name the readers of our own surroundings apart from the users' platform

internal/platform and platform were two packages of one name for different things. The readers of the release notes and of the list of VMs are internal/surroundings now.

--- a/internal/ctl/chain.go
+++ b/internal/ctl/chain.go
@@ -7,9 +7,9 @@
 
 	"github.com/juju/errors"
 
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/strictyaml"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // readNote reads and parses a file with a release note.
@@ -56,10 +56,10 @@
 }
 
 // published reads the chain of a configuration service.
-type published struct{ client *platform.Client }
+type published struct{ client *surroundings.Client }
 
 func newPublished(service string) published {
-	return published{platform.NewClient(strings.TrimSuffix(service, "/"), "")}
+	return published{surroundings.NewClient(strings.TrimSuffix(service, "/"), "")}
 }
 
 // head returns the number of the latest note.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -18,8 +18,8 @@
 
 	"github.com/samphirestream/samphirestream/internal/lifecycle"
 	"github.com/samphirestream/samphirestream/internal/orders"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/protocol"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // maxStatusCalls bounds the processes that are asked at one time.
@@ -136,7 +136,7 @@
 	if f.vmList == "" {
 		return addrs, nil
 	}
-	vms, err := platform.NewClient("", strings.TrimSuffix(f.vmList, "/")).VMs(ctx)
+	vms, err := surroundings.NewClient("", strings.TrimSuffix(f.vmList, "/")).VMs(ctx)
 	if err != nil {
 		return nil, errors.Annotate(err, "give the URL of the VM list with -vm-list")
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,10 +18,10 @@
 	"github.com/juju/errors"
 
 	"github.com/samphirestream/samphirestream/internal/node"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/settings"
 	"github.com/samphirestream/samphirestream/internal/standin"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // Bearer keys of the demo's providers.
@@ -275,11 +275,11 @@
 }
 
 func (f *Fleet) publishVMs() {
-	var vms []platform.VM
+	var vms []surroundings.VM
 	for _, s := range f.note.Added.BackendServers {
-		vms = append(vms, platform.VM{
+		vms = append(vms, surroundings.VM{
 			Name: "agent-" + s.Name, DataCentre: s.DataCentre, Region: s.Region, Role: settings.RoleAgent,
-			Peers: s.Agent, Backend: s.Name, State: platform.VMLive,
+			Peers: s.Agent, Backend: s.Name, State: surroundings.VMLive,
 		})
 	}
 	f.VMs.Set(vms...)
--- a/internal/gossip/contacts.go
+++ b/internal/gossip/contacts.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/samphirestream/samphirestream/internal/membership"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/settings"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // contactsPerDataCentre is the number of processes of a data centre that
@@ -47,7 +47,7 @@
 	// order.
 	ranked []string
 	// contacts are the contacts of other data centres.
-	contacts map[string][]platform.VM
+	contacts map[string][]surroundings.VM
 	centres  []string
 	// entries are the entries of other data centres, for entries only.
 	entries map[string][]string
@@ -71,7 +71,7 @@
 	v.busy = true
 	v.reads++
 	n.count.ListCalls.Add(1)
-	n.cfg.Platform.VMs(func(vms []platform.VM, err error) {
+	n.cfg.Platform.VMs(func(vms []surroundings.VM, err error) {
 		v.busy = false
 		v.next = n.now.Add(n.listInterval(len(vms), err))
 		if err != nil {
@@ -97,25 +97,25 @@
 }
 
 // setList takes in the VM list.
-func (n *Node) setList(vms []platform.VM) {
+func (n *Node) setList(vms []surroundings.VM) {
 	v := &n.vms
 	v.known, v.total = true, len(vms)
 	v.listed = false
 	var local []string
-	v.contacts, v.entries = map[string][]platform.VM{}, map[string][]string{}
+	v.contacts, v.entries = map[string][]surroundings.VM{}, map[string][]string{}
 	var members []membership.Member
 	remote := map[string][]string{}
-	byName := map[string]platform.VM{}
+	byName := map[string]surroundings.VM{}
 	for _, vm := range vms {
 		if vm.DataCentre != n.cfg.DataCentre {
-			if vm.State == platform.VMLive {
+			if vm.State == surroundings.VMLive {
 				remote[vm.DataCentre] = append(remote[vm.DataCentre], vm.Name)
 				byName[vm.Name] = vm
 			}
 			continue
 		}
 		v.listed = v.listed || vm.Name == n.cfg.Self.Name
-		if vm.State == platform.VMLive {
+		if vm.State == surroundings.VMLive {
 			local = append(local, vm.Name)
 		}
 		members = append(members, memberOf(vm))
@@ -134,13 +134,13 @@
 
 // setRemoteLeaving remembers which servers of other data centres leave and have
 // no new VM.
-func (n *Node) setRemoteLeaving(vms []platform.VM) {
+func (n *Node) setRemoteLeaving(vms []surroundings.VM) {
 	leaving := map[string]bool{}
 	for _, vm := range vms {
 		if vm.DataCentre == n.cfg.DataCentre || vm.Backend == "" {
 			continue
 		}
-		live := vm.State == platform.VMLive
+		live := vm.State == surroundings.VMLive
 		if known, ok := leaving[vm.Backend]; !ok || known {
 			leaving[vm.Backend] = !live
 		}
@@ -151,20 +151,20 @@
 
 // setRemoteEntries remembers the entries of other data centres, which entries
 // need to share backend servers for failover.
-func (n *Node) setRemoteEntries(vms []platform.VM) {
+func (n *Node) setRemoteEntries(vms []surroundings.VM) {
 	if n.cfg.Self.Backend != "" {
 		return
 	}
 	for _, vm := range vms {
-		if vm.Role == settings.RoleEntry && vm.DataCentre != n.cfg.DataCentre && vm.State == platform.VMLive {
+		if vm.Role == settings.RoleEntry && vm.DataCentre != n.cfg.DataCentre && vm.State == surroundings.VMLive {
 			n.vms.entries[vm.DataCentre] = append(n.vms.entries[vm.DataCentre], vm.Name)
 		}
 	}
 }
 
-func memberOf(vm platform.VM) membership.Member {
+func memberOf(vm surroundings.VM) membership.Member {
 	m := membership.Member{Name: vm.Name, Addr: vm.Peers, Backend: vm.Backend}
-	if vm.State == platform.VMLeaving {
+	if vm.State == surroundings.VMLeaving {
 		m.State = membership.Leaving
 	}
 	return m
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/samphirestream/samphirestream/internal/gossip"
 	"github.com/samphirestream/samphirestream/internal/membership"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/standin"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 const (
@@ -296,9 +296,9 @@
 	is := is.New(t)
 	f := running(t, 21, 3, 1)
 	leaving := &f.VMs[4]
-	leaving.State = platform.VMLeaving
+	leaving.State = surroundings.VMLeaving
 	is.True(f.RunUntil(drainTarget, func() bool { return unavailableAt(f, leaving.Backend) == entriesOf(f) }))
-	leaving.State = platform.VMLive
+	leaving.State = surroundings.VMLive
 	is.True(f.RunUntil(drainTarget, func() bool { return unavailableAt(f, leaving.Backend) == 0 }))
 }
 
--- a/internal/gossip/runner.go
+++ b/internal/gossip/runner.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/samphirestream/samphirestream/internal/membership"
-	"github.com/samphirestream/samphirestream/internal/platform"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 	"github.com/samphirestream/samphirestream/internal/transport"
 )
 
@@ -29,7 +29,7 @@
 // NewRunner returns a runner whose calls to peers and platform end with ctx.
 // Config.Bulk, Config.Platform and Config.Now are filled in. load, if not nil,
 // returns the decode slots of the backend server.
-func NewRunner(ctx context.Context, cfg Config, client *platform.Client, dialer *transport.Dialer, load func() (free, total uint32)) *Runner {
+func NewRunner(ctx context.Context, cfg Config, client *surroundings.Client, dialer *transport.Dialer, load func() (free, total uint32)) *Runner {
 	r := &Runner{events: make(chan func(time.Time), queueEvents), done: ctx.Done(), ctx: ctx, load: load}
 	cfg.Bulk = &rpcBulk{runner: r, dialer: dialer}
 	cfg.Platform = &platformReads{runner: r, client: client}
@@ -133,7 +133,7 @@
 // platformReads reads the platform's services on goroutines of its own.
 type platformReads struct {
 	runner *Runner
-	client *platform.Client
+	client *surroundings.Client
 }
 
 // Head implements Platform.
@@ -153,7 +153,7 @@
 }
 
 // VMs implements Platform.
-func (p *platformReads) VMs(done func([]platform.VM, error)) {
+func (p *platformReads) VMs(done func([]surroundings.VM, error)) {
 	go func() {
 		vms, err := p.client.VMs(p.runner.ctx)
 		p.runner.finish(func() { done(vms, err) })
--- a/internal/gossip/runner_test.go
+++ b/internal/gossip/runner_test.go
@@ -17,10 +17,10 @@
 
 	"github.com/samphirestream/samphirestream/internal/gossip"
 	"github.com/samphirestream/samphirestream/internal/membership"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/protocol"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/standin"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 	"github.com/samphirestream/samphirestream/internal/transport"
 )
 
@@ -31,11 +31,11 @@
 type process struct {
 	runner *gossip.Runner
 	store  *release.Store
-	vm     platform.VM
+	vm     surroundings.VM
 }
 
 // startProcess listens for TCP and UDP on one port. run starts the protocol.
-func startProcess(t *testing.T, name string, client *platform.Client) (p *process, run func()) {
+func startProcess(t *testing.T, name string, client *surroundings.Client) (p *process, run func()) {
 	t.Helper()
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -44,7 +44,7 @@
 	addr := ln.Addr().(*net.TCPAddr).AddrPort()
 	udp, err := gossip.ListenUDP(addr)
 	is.NoErr(err)
-	p = &process{store: release.NewStore(), vm: platform.VM{Name: name, DataCentre: "dc-a", Role: "agent", Peers: addr.String(), Backend: "s-" + name, State: platform.VMLive}}
+	p = &process{store: release.NewStore(), vm: surroundings.VM{Name: name, DataCentre: "dc-a", Role: "agent", Peers: addr.String(), Backend: "s-" + name, State: surroundings.VMLive}}
 	self := protocol.NodeRef{Node: name, Incarnation: "1"}
 	server := &transport.Server{Self: self, Security: &transport.Security{}, RPC: rpc.NewServer(), Silence: time.Second, Log: log.NewNopLogger()}
 	is.NoErr(server.RPC.RegisterName(gossip.ServiceNotes, &gossip.NotesQueries{Self: name, Store: p.store}))
@@ -82,9 +82,9 @@
 	t.Cleanup(configServer.Close)
 	t.Cleanup(listServer.Close)
 	t.Cleanup(configServer.CloseClientConnections)
-	client := platform.NewClient(configServer.URL, listServer.URL)
+	client := surroundings.NewClient(configServer.URL, listServer.URL)
 	var all []*process
-	var vms []platform.VM
+	var vms []surroundings.VM
 	var runs []func()
 	for i := range 6 {
 		p, run := startProcess(t, fmt.Sprintf("p%d", i), client)
--- a/internal/standin/control_platform.go
+++ b/internal/standin/control_platform.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/samphirestream/samphirestream/internal/platform"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // Platform is a stand-in for all of the platform's services at one address.
@@ -18,7 +18,7 @@
 
 // Handler returns the HTTP interfaces of the services, and one for tests: POST
 // /control/publish with a note, /control/config?state=up|down|stale and
-// ?show=N, /control/vms with a platform.VMs, and /control/vmlist?state=up|down.
+// ?show=N, /control/vms with a surroundings.VMs, and /control/vmlist?state=up|down.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	config := p.Config.Handler()
@@ -54,7 +54,7 @@
 }
 
 func (p *Platform) controlVMs(w http.ResponseWriter, r *http.Request) {
-	var in platform.VMs
+	var in surroundings.VMs
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/controlfleet.go
+++ b/internal/standin/controlfleet.go
@@ -12,8 +12,8 @@
 
 	"github.com/samphirestream/samphirestream/internal/gossip"
 	"github.com/samphirestream/samphirestream/internal/membership"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/release"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // ControlOptions size a ControlFleet.
@@ -42,7 +42,7 @@
 	Events  *Events
 	Network *Network
 	Nodes   []*ControlNode
-	VMs     []platform.VM
+	VMs     []surroundings.VM
 	// Published are the notes at the configuration service.
 	Published []release.Document
 	// Visible is the number of notes that the service shows.
@@ -63,7 +63,7 @@
 // ControlNode is one process of a ControlFleet.
 type ControlNode struct {
 	Node     *gossip.Node
-	VM       platform.VM
+	VM       surroundings.VM
 	Endpoint *Endpoint
 	// Paused processes neither tick nor receive.
 	Paused bool
@@ -98,11 +98,11 @@
 	return f
 }
 
-func (f *ControlFleet) vm(i int) platform.VM {
+func (f *ControlFleet) vm(i int) surroundings.VM {
 	dc := i % f.options.DataCentres
-	vm := platform.VM{
+	vm := surroundings.VM{
 		Name: fmt.Sprintf("agent-%d", i), DataCentre: fmt.Sprintf("dc-%d", dc), Region: fmt.Sprintf("region-%d", dc%max(f.options.Regions, 1)),
-		Role: "agent", Peers: fmt.Sprintf("10.%d.%d.%d:7000", dc, i>>8, i&0xff), Backend: fmt.Sprintf("server-%d", i), State: platform.VMLive,
+		Role: "agent", Peers: fmt.Sprintf("10.%d.%d.%d:7000", dc, i>>8, i&0xff), Backend: fmt.Sprintf("server-%d", i), State: surroundings.VMLive,
 	}
 	if every := f.options.EntryEvery; every > 0 && (i/f.options.DataCentres)%every == 0 {
 		vm.Name, vm.Role, vm.Backend = fmt.Sprintf("entry-%d", i), "entry", ""
@@ -140,7 +140,7 @@
 }
 
 // Start starts a process that knows nothing on a VM, in place of a former one.
-func (f *ControlFleet) Start(vm platform.VM) *ControlNode {
+func (f *ControlFleet) Start(vm surroundings.VM) *ControlNode {
 	c := &ControlNode{VM: vm, fleet: f, Endpoint: f.Network.Endpoint(vm.Peers), InForce: map[uint64]time.Time{}}
 	for i, old := range f.Nodes {
 		if old.VM.Name == vm.Name {
@@ -340,7 +340,7 @@
 const vmBytes = 150
 
 // VMs implements gossip.Platform.
-func (c *ControlNode) VMs(done func([]platform.VM, error)) {
+func (c *ControlNode) VMs(done func([]surroundings.VM, error)) {
 	f := c.fleet
 	f.Events.After(delayService, func() {
 		if f.ListDown {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/samphirestream/samphirestream/internal/platform"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // ConfigService is a stand-in for the platform's configuration service, in the
@@ -122,12 +122,12 @@
 			return
 		}
 		if visible > after || wait == 0 {
-			writeJSON(w, platform.Head{Number: uint64(visible)})
+			writeJSON(w, surroundings.Head{Number: uint64(visible)})
 			return
 		}
 		select {
 		case <-ctx.Done():
-			writeJSON(w, platform.Head{Number: uint64(visible)})
+			writeJSON(w, surroundings.Head{Number: uint64(visible)})
 			return
 		case <-changed:
 		}
@@ -137,8 +137,8 @@
 // VMList is a stand-in for the platform's lagging list of VMs.
 type VMList struct {
 	mu    sync.Mutex
-	vms   []platform.VM
-	shown []platform.VM
+	vms   []surroundings.VM
+	shown []surroundings.VM
 	lag   time.Duration
 	down  bool
 }
@@ -147,7 +147,7 @@
 func NewVMList(lag time.Duration) *VMList { return &VMList{lag: lag} }
 
 // Set replaces the list; readers see it after the lag.
-func (v *VMList) Set(vms ...platform.VM) {
+func (v *VMList) Set(vms ...surroundings.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.vms = vms
@@ -180,7 +180,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(platform.VMs{VMs: v.shown})
+		_ = json.NewEncoder(w).Encode(surroundings.VMs{VMs: v.shown})
 	})
 	return mux
 }
--- a/internal/platform/platform.go
+++ b/internal/surroundings/client.go
@@ -1,7 +1,7 @@
-// Package platform reads the services that the platform gives: the
+// Package surroundings reads what the surroundings of a fleet publish: the
 // configuration service with the release notes, and the list of VMs. Nothing
 // can be written to them.
-package platform
+package surroundings
 
 import (
 	"context"
--- a/internal/platform/watcher.go
+++ b/internal/surroundings/watcher.go
@@ -1,4 +1,4 @@
-package platform
+package surroundings
 
 import (
 	"context"
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -19,10 +19,10 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/samphirestream/samphirestream/internal/invariant"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/settings"
 	"github.com/samphirestream/samphirestream/internal/standin"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // Deadlines of polls. They end a test that hangs; no promise is judged by them.
@@ -97,7 +97,7 @@
 	links    map[string]*link
 	dcs      sync.Map // data centres by process
 	platform string
-	vms      []platform.VM
+	vms      []surroundings.VM
 	notes    []release.Document
 	servers  []release.BackendServer
 
@@ -269,10 +269,10 @@
 		server.Models = []string{model}
 	}
 	f.servers = append(f.servers, server)
-	f.vms = append(f.vms, platform.VM{
+	f.vms = append(f.vms, surroundings.VM{
 		Name: name, DataCentre: s.dc, Region: "coast", Role: settings.RoleAgent,
 		// Gossip takes the address itself; links carry no datagrams.
-		Peers: peers, Backend: s.name, State: platform.VMLive,
+		Peers: peers, Backend: s.name, State: surroundings.VMLive,
 	})
 }
 
@@ -281,9 +281,9 @@
 	s.Listen.Callers, s.Listen.Peers = f.addr(), f.addr()
 	f.callers = append(f.callers, "http://"+s.Listen.Callers)
 	f.spawnDaemon(s, "")
-	f.vms = append(f.vms, platform.VM{
+	f.vms = append(f.vms, surroundings.VM{
 		Name: name, DataCentre: dc, Region: "coast", Role: settings.RoleEntry,
-		Peers: s.Listen.Peers, State: platform.VMLive,
+		Peers: s.Listen.Peers, State: surroundings.VMLive,
 	})
 }
 
@@ -359,7 +359,7 @@
 
 // publishVMs publishes the list of VMs.
 func (f *fleet) publishVMs() {
-	raw, err := json.Marshal(platform.VMs{VMs: f.vms})
+	raw, err := json.Marshal(surroundings.VMs{VMs: f.vms})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/test/integration/stops_test.go
+++ b/test/integration/stops_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirestream/samphirestream/internal/invariant"
-	"github.com/samphirestream/samphirestream/internal/platform"
 	"github.com/samphirestream/samphirestream/internal/release"
+	"github.com/samphirestream/samphirestream/internal/surroundings"
 )
 
 // load sends requests of all kinds through all entries until it is stopped.
@@ -159,7 +159,7 @@
 // agent stops. After the bound it receives no new work; the rest serves on.
 func TestLeavingServerReceivesNoNewWork(t *testing.T) {
 	ways := map[string]func(*fleet, string){
-		"by the list of VMs": func(f *fleet, server string) { f.setVM("agent-"+server, platform.VMLeaving) },
+		"by the list of VMs": func(f *fleet, server string) { f.setVM("agent-"+server, surroundings.VMLeaving) },
 		"by a release note": func(f *fleet, server string) {
 			f.publish(release.Note{Withdrawn: release.Names{BackendServers: []string{server}}})
 		},
