Leave servers out that answer as others until they are registered again

Six servers had crashed and were back as others while the store was away for a third of the entries. Those went on sending to the old ones, which seemed empty: a refusal counts for 20 ms only, and the retry budget was used up.

Change: a server that answers 421 gets no work for 5 s, or until its registration changes; the same for plain servers and prefills. Tests for the three failed first.

--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -24,6 +24,9 @@
 	toldUnreachable atomic.Bool
 	// awayUntil is the end of a change of stage, in Unix nanoseconds; 0 without.
 	awayUntil atomic.Int64
+	// replacedUntil is the end of the time for which the server counts as replaced
+	// by another life or another server, in Unix nanoseconds; 0 without.
+	replacedUntil atomic.Int64
 	// orderedHere is set where this process gave the order.
 	orderedHere atomic.Bool
 }
@@ -33,6 +36,18 @@
 	return max(0, time.Duration(b.awayUntil.Load()-now.UnixNano()))
 }
 
+// replacedFor is the time for which a server that answers as another one gets no
+// work. Its new registration ends it; the time is for one that does not come.
+const replacedFor = 5 * time.Second
+
+// setReplaced notes that the server answered as another one.
+func (b *backend) setReplaced() { b.replacedUntil.Store(time.Now().Add(replacedFor).UnixNano()) }
+
+// usable reports whether the server takes new work, as far as its answers tell.
+func (b *backend) usable(now time.Time) bool {
+	return b.health.usable() && now.UnixNano() >= b.replacedUntil.Load()
+}
+
 // capacity is what a model server holds at once.
 type capacity struct{ slots, tokens int }
 
@@ -153,7 +168,7 @@
 		if limits != nil {
 			b.view.Count(limits.slots, limits.tokens)
 		}
-		b.view.Down = limits == nil || s.Draining || !b.health.usable() || b.away(now) > 0
+		b.view.Down = limits == nil || s.Draining || !b.usable(now) || b.away(now) > 0
 		out = append(out, b)
 	}
 	return out
@@ -166,12 +181,13 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	var healthy, rest []*backend
+	now := time.Now()
 	for _, s := range f.lastSeen.Services[service] {
 		b := f.backends[s.ID]
 		if b == nil || s.Draining || tried[s.ID] {
 			continue
 		}
-		if b.health.usable() {
+		if b.usable(now) {
 			healthy = append(healthy, b)
 			continue
 		}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -120,6 +120,9 @@
 	}
 	defer reply.Body.Close()
 	if reply.NotRun || reply.Misdirected {
+		if reply.Misdirected {
+			b.setReplaced()
+		}
 		b.health.answered(!reply.Misdirected, 0)
 		x.warn("server refused", "server", b.Name(), "status", reply.Status, "load", reply.Load)
 		return plainOutcome{notRun: true}
@@ -189,7 +192,7 @@
 	if b := x.leastLoaded(x.tried); b != nil || x.attempts == 0 {
 		return b
 	}
-	if b := x.leastLoaded(nil); b != nil && b.health.usable() {
+	if b := x.leastLoaded(nil); b != nil && b.usable(time.Now()) {
 		return b
 	}
 	return nil
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -49,7 +49,7 @@
 		failures, work := b.health.rates()
 		row := ServerSnapshot{
 			ID: id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Stage: s.Stage, Draining: s.Draining,
-			Suspected: !b.health.usable(), Calls: b.calls.Load(), OtherCalls: b.others.Load(),
+			Suspected: !b.usable(time.Now()), Calls: b.calls.Load(), OtherCalls: b.others.Load(),
 			FailureRate: failures, WorkMillis: work.Milliseconds(),
 		}
 		r.dispatch.Update(b, func(_ time.Duration, v *placement.Server) { row.Slots, row.FreeTokens = v.SlotsUsed(), v.PiecesFree() })
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -681,3 +681,41 @@
 		}
 	})
 }
+
+// misdirected is the answer of a server that took over another one's address.
+func misdirected(ctx context.Context, o *router.Outgoing) (*router.Reply, error) {
+	r, err := refuses(ctx, o)
+	r.Misdirected = true
+	return r, err
+}
+
+// TestServersThatWereReplacedAreLeftOut has servers of each kind answer that they
+// are others, as after a crash while the store is away. They seem to be empty.
+func TestServersThatWereReplacedAreLeftOut(t *testing.T) {
+	for name, tc := range map[string]struct {
+		server, path, noted string
+		prefill             bool
+	}{
+		"plain": {"a1", "/safe/x", "a1", false}, "decode": {"d1", "/stream/x", "d1", false}, "prefill": {"p1", "/stream/x", "prefill p1", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.all(decodeServers, ok(events))
+				if tc.prefill {
+					f.servers.prefills = map[string]behaviour{tc.server: misdirected}
+				} else {
+					f.servers.set(tc.server, misdirected)
+				}
+				const calls = 20
+				is.Equal(f.load(calls, 200*time.Millisecond, tc.path, time.Second), calls)
+				is.Equal(f.arrivals()[tc.noted], 1)
+				known := *f.directory.Current().Servers[tc.server]
+				known.Started++
+				f.directory.Put(&known)
+				f.load(calls, 200*time.Millisecond, tc.path, time.Second)
+				is.True(f.arrivals()[tc.noted] > 1) // its registration is there
+			})
+		})
+	}
+}
