Tell entries that start at once what is in use

Prefill servers were given several times what they do, 55 and 39 prefills a half second ran out of patience, and callers were refused for it.

An entry now sends all of its use at once to peers that it learns of, also to those that started again. The test failed first.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -72,6 +72,8 @@
 	waits      map[string][]time.Time
 	dirtyWaits map[string]bool
 	peers      map[string]*peer
+	// unmet are the peers that this entry has learnt of and told nothing yet.
+	unmet map[string]bool
 	// assumed is set while most was assumed.
 	assumed bool
 	// most is the largest number of entries that lived at once lately.
@@ -84,7 +86,7 @@
 	return &Share{
 		options: o, conn: conn, log: logger, boot: time.Now().UnixMilli(), started: time.Now(), wake: make(chan struct{}, 1),
 		seeds: o.Seeds, own: map[string]Usage{}, dirty: map[string]bool{}, peers: map[string]*peer{},
-		waits: map[string][]time.Time{}, dirtyWaits: map[string]bool{},
+		waits: map[string][]time.Time{}, dirtyWaits: map[string]bool{}, unmet: map[string]bool{},
 	}
 }
 
@@ -210,39 +212,68 @@
 			s.sendFull(false)
 		case <-s.wake:
 			time.Sleep(gather)
+			s.greet()
 			s.sendChanges()
 		}
 	}
 }
 
+// sendFull tells all of this entry's use to all peers and seeds.
 func (s *Share) sendFull(leaving bool) {
 	s.mu.Lock()
-	s.seq++
-	m := &message{Boot: s.boot, Seq: s.seq, Full: true, Leaving: leaving, Uses: map[string]Usage{}}
+	m := s.fullLocked(time.Now())
+	m.Leaving = leaving
 	to := map[string]bool{}
 	for _, seed := range s.seeds {
 		to[seed] = true
 	}
-	for addr, p := range s.peers {
+	for addr := range s.peers {
 		to[addr] = true
-		if time.Since(p.heard) < silence {
+	}
+	s.dirty, s.dirtyWaits = map[string]bool{}, map[string]bool{}
+	s.mu.Unlock()
+	delete(to, s.options.Self)
+	for addr := range to {
+		s.send(m, addr)
+	}
+}
+
+// greet tells all to those that this entry has just learnt of, which may not know
+// it yet: one that starts must not take the servers for idle until the next full
+// message.
+func (s *Share) greet() {
+	s.mu.Lock()
+	to := s.unmet
+	s.unmet = map[string]bool{}
+	if len(to) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	m := s.fullLocked(time.Now())
+	s.mu.Unlock()
+	for addr := range to {
+		s.send(m, addr)
+	}
+}
+
+// fullLocked returns a message with all of this entry's use.
+func (s *Share) fullLocked(now time.Time) *message {
+	s.seq++
+	m := &message{Boot: s.boot, Seq: s.seq, Full: true, Uses: map[string]Usage{}}
+	for addr, p := range s.peers {
+		if now.Sub(p.heard) < silence {
 			m.Members = append(m.Members, addr)
 		}
 	}
 	for server, u := range s.own {
-		m.Uses[server] = u.at(time.Now())
+		m.Uses[server] = u.at(now)
 	}
 	all := map[string]bool{}
 	for pool := range s.waits {
 		all[pool] = true
 	}
-	m.Waits = s.agesLocked(all, time.Now())
-	s.dirty, s.dirtyWaits = map[string]bool{}, map[string]bool{}
-	s.mu.Unlock()
-	delete(to, s.options.Self)
-	for addr := range to {
-		s.send(m, addr)
-	}
+	m.Waits = s.agesLocked(all, now)
+	return m
 }
 
 func (s *Share) sendChanges() {
@@ -319,7 +350,7 @@
 		p = newPeer(m.Boot)
 		s.peers[from] = p
 	}
-	known := ok && now.Sub(p.heard) < silence
+	known := ok && p.boot == m.Boot && now.Sub(p.heard) < silence
 	changed := p.take(m, now)
 	queues := p.takeWaits(m, now)
 	if m.Leaving {
@@ -329,8 +360,15 @@
 		if _, ok := s.peers[addr]; !ok && addr != s.options.Self {
 			s.peers[addr] = newPeer(0)
 			s.peers[addr].heard = now.Add(-silence)
+			s.unmet[addr] = true
 		}
 	}
+	if !known && !m.Leaving {
+		s.unmet[from] = true
+	}
+	if len(s.unmet) > 0 {
+		s.signal()
+	}
 	entries := s.entriesLocked(now)
 	s.mu.Unlock()
 	if !known && !m.Leaving {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -155,6 +155,24 @@
 	})
 }
 
+// TestEntriesThatStartLearnAtOnce starts an entry beside two that use servers, one
+// of which it learns of from the other.
+func TestEntriesThatStartLearnAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, n *network, m [3]*member) {
+		is := is.New(t)
+		m[0].Use("s", Usage{Calls: 2})
+		m[2].Use("s", Usage{Calls: 3})
+		time.Sleep(fullEvery / 2)
+		fresh := n.start("10.0.0.4:1", a)
+		fresh.Use("s", Usage{Calls: 4})
+		time.Sleep(10 * gather)
+		is.Equal(fresh.others("s"), 5)
+		is.Equal(m[2].others("s"), 6)
+		is.Equal(len(fresh.Peers()), 3)
+		fresh.stop()
+	})
+}
+
 func TestChangesArriveAtOnce(t *testing.T) {
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
