Bound callers' headers by the configuration, and the time of a body

max_header_bytes of the configuration was read and not used: 64 KiB always passed. A body that stopped coming held its request for ever.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -22,6 +22,8 @@
 	KindUnknownModel    Kind = "unknown_model"
 	KindWithdrawn       Kind = "withdrawn_version"
 	KindBodyTooLarge    Kind = "body_too_large"
+	KindHeaderTooLarge  Kind = "header_too_large"
+	KindSlowSender      Kind = "request_timeout"
 	KindPromptTooLong   Kind = "prompt_too_long"
 	KindQuotaExceeded   Kind = "quota_exceeded"
 	KindOverloaded      Kind = "overloaded"
@@ -104,6 +106,10 @@
 		return http.StatusGone
 	case KindBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case KindHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case KindSlowSender:
+		return http.StatusRequestTimeout
 	case KindQuotaExceeded:
 		return http.StatusTooManyRequests
 	case KindOverloaded, KindDraining, KindStarting, KindUnavailable:
