--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -82,8 +82,6 @@
 type fleet struct {
 	directory  *directory.Directory
 	dataCentre string
-	// memoryShare is the part of an engine's memory that is given out.
-	memoryShare float64
 
 	mu       sync.RWMutex // guards backends
 	backends map[string]*backend
@@ -92,7 +90,7 @@
 }
 
 func newFleet(d *directory.Directory, dataCentre string) *fleet {
-	return &fleet{directory: d, dataCentre: dataCentre, memoryShare: memoryShare, backends: map[string]*backend{}}
+	return &fleet{directory: d, dataCentre: dataCentre, backends: map[string]*backend{}}
 }
 
 // memoryShare leaves a part of an engine's memory for the blocks that each
@@ -150,7 +148,7 @@
 		return
 	}
 	if svc := snap.Config.Services[s.Service]; svc != nil && svc.Engine != nil {
-		b.capacity.Store(&capacity{slots: svc.Engine.Slots, tokens: int(f.memoryShare * float64(svc.Engine.MemoryTokens))})
+		b.capacity.Store(&capacity{slots: svc.Engine.Slots, tokens: int(memoryShare * float64(svc.Engine.MemoryTokens))})
 	}
 }
 
