Forget what was told of a server once it is over

A usage with nothing but calls that a server broke stayed in all full messages after these were too old to tell, for each server that was never used again.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -266,7 +266,11 @@
 		}
 	}
 	for server, u := range s.own {
-		m.Uses[server] = u.at(now)
+		if u = u.at(now); u.empty() {
+			delete(s.own, server) // all that was told of it is over
+			continue
+		}
+		m.Uses[server] = u
 	}
 	all := map[string]bool{}
 	for pool := range s.waits {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -231,6 +231,23 @@
 	is.True(!got.empty())
 }
 
+func TestUsesThatAreOverAreForgotten(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		m[0].Use("s", Usage{BrokenAt: []time.Time{time.Now()}})
+		time.Sleep(BrokenFor + 2*fullEvery)
+		for _, x := range m {
+			x.Share.mu.Lock()
+			uses := len(x.own)
+			for _, p := range x.peers {
+				uses += len(p.uses)
+			}
+			x.Share.mu.Unlock()
+			is.Equal(uses, 0)
+		}
+	})
+}
+
 func TestLostDatagramsAreRepaired(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -20,6 +20,8 @@
 	// AwayUntil is the end of the time for which the server takes no work, since
 	// the entry ordered it to change its stage; zero without an order.
 	AwayUntil time.Time `cbor:"-"`
+	// Away is the rest of that time in milliseconds, in messages only.
+	Away int64 `cbor:"4,keyasint,omitempty"`
 	// Unreachable is set while the server does not answer the entry.
 	Unreachable bool `cbor:"5,keyasint,omitempty"`
 	// BrokenAt are the times of the calls that the server took and broke off without
@@ -27,8 +29,6 @@
 	BrokenAt []time.Time `cbor:"-"`
 	// BrokenAges are the times in milliseconds since then, in messages only.
 	BrokenAges []int64 `cbor:"6,keyasint,omitempty"`
-	// Away is the rest of that time in milliseconds, in messages only.
-	Away int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Run is one request at a decode server.
@@ -52,9 +52,11 @@
 		runs[i] = r
 	}
 	u.Runs = runs
-	u.BrokenAges = nil
-	for _, t := range u.BrokenAt {
+	broken := u.BrokenAt
+	u.BrokenAt, u.BrokenAges = nil, nil
+	for _, t := range broken {
 		if age := now.Sub(t); age <= BrokenFor {
+			u.BrokenAt = append(u.BrokenAt, t)
 			u.BrokenAges = append(u.BrokenAges, age.Milliseconds())
 		}
 	}
