Hear entries that start again with their clock set back

A message of a life with an earlier start was taken for an old one until its peer was forgotten, for 30 s after a restart with the clock set back. It counts once the peer has been silent. The test failed first. Messages of former lives changed queues, and since entries greet those that they do not know, they would have been greeted each time; they change nothing now.

The calls that servers broke are named brokenCalls, and explain names the server's failure as the cause of one that was passed on.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -63,7 +63,7 @@
 var decisive = map[string]bool{
 	"refused by prediction": true, "refused before it was sent": true, "request not taken": true,
 	"retry refused": true, "attempt failed": true, "response broken": true, "response without proof": true,
-	"server failure": true, "server refused": true, "server failed": true, "decode failed": true, "stream broken": true,
+	"server failure": true, "server refused": true, "decode failed": true, "stream broken": true,
 	"decode refused": true, "decode not reached": true, "prefill failed": true, "prefill refused": true, "prefill wasted": true,
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -32,6 +32,7 @@
 		"another request's":      {log(`"msg":"decode failed","request":"q"`, `"msg":"failed","request":"r","outcome":"not_run"`), "not_run", "failed"},
 		"two decisions":          {log(`"msg":"stream broken","request":"r"`, `"msg":"retry refused","request":"r"`, `"msg":"aborted","request":"r"`), "aborted", "retry refused"},
 		"the caller left":        {log(`"msg":"assigned","request":"r"`, `"msg":"caller gone","request":"r"`), "caller gone", "caller gone"},
+		"the server's own":       {log(`"msg":"server failure","request":"r"`, `"msg":"server failed","request":"r"`), "server failed", "server failure"},
 		"no end":                 {log(`"msg":"assigned","request":"r"`), "unfinished", ""},
 		"freed after the end":    {log(`"msg":"refused by prediction","request":"r"`, `"msg":"failed","request":"r"`, `"msg":"prefill wasted","request":"r"`), "failed", "refused by prediction"},
 	} {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -354,6 +354,10 @@
 		p = newPeer(m.Boot)
 		s.peers[from] = p
 	}
+	if ok && p.former(m, now) {
+		s.mu.Unlock()
+		return
+	}
 	known := ok && p.boot == m.Boot && now.Sub(p.heard) < silence
 	changed := p.take(m, now)
 	queues := p.takeWaits(m, now)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -66,6 +66,12 @@
 	return nil
 }
 
+func (n *network) setDrop(drop func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drop = drop
+}
+
 // member is one share and what it was told.
 type member struct {
 	*Share
@@ -309,6 +315,30 @@
 	is.Equal(len(p.uses), 0)
 }
 
+// TestEntriesWhoseClockWasSetBackAreHeard starts an entry again whose clock is
+// behind that of its life before.
+func TestEntriesWhoseClockWasSetBackAreHeard(t *testing.T) {
+	run(t, func(t *testing.T, n *network, m [3]*member) {
+		is := is.New(t)
+		m[2].Use("s", Usage{Calls: 1})
+		time.Sleep(fullEvery)
+		is.Equal(m[0].others("s"), 1)
+		n.setDrop(func(from, _ string) bool { return from == c }) // it is killed
+		m[2].stop()
+		time.Sleep(fullEvery)
+		n.setDrop(nil)
+		again := n.start(c, a)
+		again.Share.mu.Lock()
+		again.boot -= time.Minute.Milliseconds()
+		again.Share.mu.Unlock()
+		again.Use("s", Usage{Calls: 2})
+		time.Sleep(silence + 2*fullEvery)
+		is.Equal(m[0].others("s"), 2)
+		is.Equal(m[1].others("s"), 2)
+		again.stop()
+	})
+}
+
 // TestFullMessagesTellPresentAges repeats a use a second and more after it began:
 // the receivers must not take the run for a younger one, since its memory grows.
 func TestFullMessagesTellPresentAges(t *testing.T) {
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -135,6 +135,12 @@
 	}
 }
 
+// former reports whether a message is of a life before the one that is known. A
+// peer that was silent for long may have started again with its clock set back.
+func (p *peer) former(m *message, now time.Time) bool {
+	return m.Boot < p.boot && now.Sub(p.heard) < silence
+}
+
 // takeWaits applies what a message tells of queues and reports whether anything
 // changed.
 func (p *peer) takeWaits(m *message, now time.Time) bool {
@@ -156,11 +162,11 @@
 // take applies a message and returns the servers whose use may have changed. A
 // message that was overtaken changes only what nothing newer told.
 func (p *peer) take(m *message, now time.Time) []string {
-	if m.Boot < p.boot {
+	if p.former(m, now) {
 		return nil
 	}
 	var changed []string
-	if m.Boot > p.boot {
+	if m.Boot != p.boot {
 		for s := range p.uses {
 			changed = append(changed, s)
 		}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -20,7 +20,7 @@
 	// its peers.
 	calls, others atomic.Int64
 	health        health
-	broken        broken
+	broken        brokenCalls
 	// toldUnreachable is set while another entry does not reach the server.
 	toldUnreachable atomic.Bool
 	// awayUntil is the end of a change of stage, in Unix nanoseconds; 0 without.
--- a/internal/router/broken.go
+++ b/internal/router/broken.go
@@ -26,11 +26,11 @@
 	maxPause   = 4 * time.Second
 )
 
-// broken counts the calls that a server took and broke off without an answer. It
+// brokenCalls counts the calls that a server took and broke off without an answer. It
 // answers a server that takes connections and fails each call: it is always
 // empty, so that all entries would send it most of what they have. It is safe for
 // concurrent use.
-type broken struct {
+type brokenCalls struct {
 	mu        sync.Mutex // guards the fields below
 	own       []time.Time
 	elsewhere []time.Time
@@ -39,49 +39,49 @@
 }
 
 // paused reports whether the server gets no work.
-func (k *broken) paused(now time.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return now.Before(k.until)
+func (c *brokenCalls) paused(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.until)
 }
 
 // add counts a call of this entry.
-func (k *broken) add(now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.own = append(recent(k.own, now), now)
+func (c *brokenCalls) add(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own = append(recent(c.own, now), now)
 }
 
 // told returns the calls of this entry that the others are told.
-func (k *broken) told(now time.Time) []time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.own = recent(k.own, now)
-	return slices.Clone(k.own)
+func (c *brokenCalls) told(now time.Time) []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own = recent(c.own, now)
+	return slices.Clone(c.own)
 }
 
 // hear stores the calls of the other entries.
-func (k *broken) hear(times []time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.elsewhere = times
+func (c *brokenCalls) hear(times []time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.elsewhere = times
 }
 
 // judge leaves the server out when more calls were broken than runs stream there.
 // It returns the number of broken calls and the pause; 0 when it goes on.
-func (k *broken) judge(now time.Time, streaming int) (calls int, pause time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	calls = len(recent(k.own, now)) + len(recent(k.elsewhere, now))
-	if calls < leastBroken || calls <= streaming || now.Before(k.until) {
+func (c *brokenCalls) judge(now time.Time, streaming int) (calls int, pause time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	calls = len(recent(c.own, now)) + len(recent(c.elsewhere, now))
+	if calls < leastBroken || calls <= streaming || now.Before(c.until) {
 		return calls, 0
 	}
-	if now.Sub(k.until) > maxPause {
-		k.pause = 0
+	if now.Sub(c.until) > maxPause {
+		c.pause = 0
 	}
-	k.pause = min(max(firstPause, 2*k.pause), maxPause)
-	k.until = now.Add(k.pause)
-	return calls, k.pause
+	c.pause = min(max(firstPause, 2*c.pause), maxPause)
+	c.until = now.Add(c.pause)
+	return calls, c.pause
 }
 
 // recent returns the times of the last loadshare.BrokenFor.
