Keep one stand-in of the platform's store for tests

The tests of platform and the soak each had one, with the same ranges, watches and faults; both use platform/standin now. No assertion changed; a watch that waits meets a fault at its next event too.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
 var (
@@ -186,7 +188,7 @@
 		prefillServers.Store(s.link.addr(), s)
 	}
 	f.servers = append(f.servers, s)
-	f.store.put("servers/"+id, s.registration("ready"))
+	f.store.Put("servers/"+id, s.registration("ready"))
 }
 
 // configure writes the next version; all routes of callers are in each.
@@ -198,7 +200,7 @@
 			"target_latency_ms": 900, "target_gap_ms": 300, "max_attempts": attempts, "resumable": resumable,
 		}
 	}
-	f.store.put("op/config", map[string]any{
+	f.store.Put("op/config", map[string]any{
 		"version": f.version,
 		"routes": []any{
 			route("/once/", "unsafe", "app", 1, false), route("/safe/", "safe", "app", 2, false),
@@ -248,10 +250,10 @@
 		e.signal(syscall.SIGHUP)
 		return "hangup " + e.name, nil
 	case 9:
-		f.store.refuse(true)
-		return "store refuses", func() { f.store.refuse(false) }
+		f.store.Fail(standin.Faults{Status: http.StatusServiceUnavailable})
+		return "store refuses", func() { f.store.Fail(standin.Faults{}) }
 	case 10:
-		f.store.compact()
+		f.store.Compact()
 		return "store forgets", nil
 	case 11:
 		f.configure()
@@ -326,7 +328,7 @@
 	s.mu.Lock()
 	s.leftAt = time.Now().Add(*length) // the store may be away until the faults end
 	s.mu.Unlock()
-	f.store.put("servers/"+s.id, s.registration("draining"))
+	f.store.Put("servers/"+s.id, s.registration("draining"))
 }
 
 // readyLimit bounds the time in which all entries serve after the last fault.
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
 // history is what the servers did, by request ID.
@@ -167,119 +168,13 @@
 	}
 }
 
-// store is a stand-in of the platform's metadata store.
+// store is a stand-in of the platform's metadata store behind a link.
 type store struct {
-	http *httptest.Server
+	*standin.Store
 	link *link
-
-	mu       sync.Mutex
-	revision int
-	items    map[string]event
-	events   []event
-	oldest   int
-	refusing bool
-	changed  chan struct{}
-}
-
-type event struct {
-	Key      string `json:"key"`
-	Value    string `json:"value,omitempty"`
-	Revision int    `json:"revision"`
-	Removed  bool   `json:"removed,omitempty"`
 }
 
 func newStore(t *testing.T) *store {
-	s := &store{items: map[string]event{}, changed: make(chan struct{}), revision: 1}
-	s.http = httptest.NewServer(s)
-	s.link = newLink(t, s.http.Listener.Addr().String())
-	return s
-}
-
-// put writes a key; nil removes it.
-func (s *store) put(key string, value any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	e := event{Key: key, Revision: s.revision, Removed: value == nil}
-	delete(s.items, key)
-	if value != nil {
-		b, err := json.Marshal(value)
-		if err != nil {
-			panic(err)
-		}
-		e.Value = base64.StdEncoding.EncodeToString(b)
-		s.items[key] = e
-	}
-	s.events = append(s.events, e)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// compact drops the history.
-func (s *store) compact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.events, s.oldest = nil, s.revision
-}
-
-func (s *store) refuse(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refusing = on
-}
-
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, _ := strconv.Atoi(q.Get("after")) // absent in a range
-	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	until := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		answer, status := s.read(r.URL.Path, q.Get("path_prefix"), after)
-		changed := s.changed
-		s.mu.Unlock()
-		if answer != nil || status != 0 {
-			if status != 0 {
-				w.WriteHeader(status)
-			}
-			_ = json.NewEncoder(w).Encode(answer)
-			return
-		}
-		select {
-		case <-changed:
-		case <-until:
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": []event{}, "store_revision": after})
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-// read returns the answer to a call, or nil when there are no events yet.
-func (s *store) read(path, prefix string, after int) (answer any, status int) {
-	if s.refusing {
-		return nil, http.StatusServiceUnavailable
-	}
-	var found []event
-	if path == "/kv-range" {
-		for k, e := range s.items {
-			if strings.HasPrefix(k, prefix) {
-				found = append(found, e)
-			}
-		}
-		return map[string]any{"items": found, "store_revision": s.revision}, 0
-	}
-	if after < s.oldest {
-		return nil, http.StatusGone
-	}
-	for _, e := range s.events {
-		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-			found = append(found, e)
-		}
-	}
-	if len(found) == 0 {
-		return nil, 0
-	}
-	return map[string]any{"events": found, "store_revision": s.revision}, 0
+	s := standin.NewStore()
+	return &store{Store: s, link: newLink(t, s.Addr())}
 }
