Runs at a server that changed its stage stay published; replaced servers are shared

After a crash each entry learnt by its own 421 that an address has another server: 50 prompts read in vain at 8 s. The balance followed crashes of some seconds with changes of stage that take longer.

Change: usage is published for the present registration; a replaced server is part of it, bound to the start that was seen; a change of stage must be wished for as long as it takes, the first one apart.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,8 @@
 	// prefill or no decode server takes work. Without it, jobs wait until one does, and
 	// their targets count from then on.
 	RefuseWhileDown bool
+	// Seed is that of the random choices between equal servers; 0 draws one.
+	Seed uint64
 	// Announce, if not nil, is called with the arrival times of the jobs that wait in a
 	// pool when they change. The dispatcher's lock is held during the call.
 	Announce func(model string, arrivals []time.Duration)
@@ -75,9 +77,13 @@
 
 // New returns a dispatcher without requests.
 func New[S Server](fleet Fleet[S], o Options) *Dispatcher[S] {
+	seed := o.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
 	return &Dispatcher[S]{
 		options: o, fleet: fleet, started: time.Now(), pools: map[string]*pool[S]{},
-		rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rnd: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -28,6 +28,14 @@
 	StageChangeLeft int64 `cbor:"4,keyasint,omitempty"`
 	// Unreachable is set while the entry can not reach the server.
 	Unreachable bool `cbor:"5,keyasint,omitempty"`
+	// ReplacedUntil is the end of the time in which the server gets no work because
+	// another server answered this entry at its address; zero if none did.
+	ReplacedUntil time.Time `cbor:"-"`
+	// ReplacedLeft is the remainder of that time in milliseconds, in messages only.
+	ReplacedLeft int64 `cbor:"7,keyasint,omitempty"`
+	// Started is the start, in Unix milliseconds, of the server that was replaced: a
+	// later one under the same ID is not meant.
+	Started int64 `cbor:"8,keyasint,omitempty"`
 	// BrokenCallTimes are the times of the calls within BrokenCallWindow that the
 	// server accepted and whose connection it closed without an answer.
 	BrokenCallTimes []time.Time `cbor:"-"`
@@ -69,6 +77,9 @@
 	if !u.StageChangeUntil.IsZero() {
 		u.StageChangeLeft = max(0, u.StageChangeUntil.Sub(now).Milliseconds())
 	}
+	if u.ReplacedLeft = u.ReplacedUntil.Sub(now).Milliseconds(); u.ReplacedLeft <= 0 {
+		u.ReplacedUntil, u.ReplacedLeft, u.Started = time.Time{}, 0, 0
+	}
 	return u
 }
 
@@ -85,11 +96,14 @@
 	if u.StageChangeLeft > 0 {
 		u.StageChangeUntil = now.Add(time.Duration(u.StageChangeLeft) * time.Millisecond)
 	}
+	if u.ReplacedLeft > 0 {
+		u.ReplacedUntil = now.Add(time.Duration(u.ReplacedLeft) * time.Millisecond)
+	}
 	return u
 }
 
 func (u Usage) empty() bool {
-	return u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
+	return u.ReplacedUntil.IsZero() && u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
 }
 
 // message is one datagram.
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -29,8 +29,9 @@
 	// none.
 	stageChangeUntil atomic.Int64
 	// replacedUntil is the time until which the server is excluded because another
-	// registration or another server has its address, in Unix nanoseconds; 0 if none.
-	replacedUntil atomic.Int64
+	// server answered this entry at its address, in Unix nanoseconds; 0 if none did.
+	// replacedRemotely is that by the observations of the other entries.
+	replacedUntil, replacedRemotely atomic.Int64
 	// orderedLocally is set while a change of stage that this process ordered is in
 	// progress.
 	orderedLocally atomic.Bool
@@ -56,7 +57,7 @@
 // usable reports whether the server may get new work: it is neither suspected nor
 // replaced.
 func (b *backend) usable(now time.Time) bool {
-	return b.health.usable() && now.UnixNano() >= b.replacedUntil.Load()
+	return b.health.usable() && now.UnixNano() >= max(b.replacedUntil.Load(), b.replacedRemotely.Load())
 }
 
 // acceptsWork reports whether a model server takes new work. Pauses for broken
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -22,9 +22,7 @@
 	// messages of all entries have arrived.
 	sampleDelay = 200 * time.Millisecond
 	// averagingTime is the time over which demand is averaged.
-	averagingTime = 6 * time.Second
-	// minRuns is the number of runs from which the demand is known well enough.
-	minRuns = 20
+	averagingTime = 20 * time.Second
 	// orderInterval is the minimum time between two rounds of orders for a service.
 	orderInterval = 1500 * time.Millisecond
 	// switchMargin is added to the time that a server needs to change its stage: its
@@ -40,13 +38,18 @@
 // balance is what the holder of orders knows of the demand of one service.
 type balance struct {
 	// sampledAt is the time until which runs were counted, on the dispatcher's clock.
-	sampledAt   time.Duration
+	sampledAt time.Duration
+	// wish is the number of servers by which the prefill stage should shrink, or grow if
+	// negative, and wishedSince the time since when its sign is the same.
+	wish        int
+	wishedSince time.Time
+	// ordered is set once an order was given.
+	ordered     bool
 	lastOrders  time.Time
 	prefillWork float64 // seconds of prefill servers, decayed
 	decodeWork  float64 // seconds of decode servers filled with runs, decayed
 	runMemory   float64 // sum of the mean memory of runs in tokens, decayed
 	runs        float64 // number of runs, decayed
-	counted     int     // runs since the start
 }
 
 // Balance moves servers of model services between the stages until ctx ends. Only one
@@ -74,17 +77,18 @@
 				services[name] = b
 			}
 			prefills, decodes := r.sampleDemand(name, b)
-			if b.counted < minRuns || time.Since(b.lastOrders) < orderInterval {
+			if time.Since(b.lastOrders) < orderInterval {
 				continue
 			}
-			from, n := directory.Prefill, prefills-b.demand(svc.Engine).bestSplit(prefills, decodes)
+			n := prefills - b.demand(svc.Engine).bestSplit(prefills, decodes)
+			if !b.lasting(n, svc.Engine.StageChangeTime) {
+				continue
+			}
+			from := directory.Prefill
 			if n < 0 {
 				from, n = directory.Decode, -n
 			}
-			if n == 0 {
-				continue
-			}
-			b.lastOrders = time.Now()
+			b.ordered, b.lastOrders = true, time.Now()
 			_ = level.Info(r.log).Log("msg", "split changes", "service", name, "prefill_servers", prefills, "decode_servers", decodes,
 				"from", from, "servers", n, "prefill_demand", b.demand(svc.Engine).prefill, "decode_demand", b.demand(svc.Engine).decode)
 			for _, server := range r.leastUsed(name, from, n) {
@@ -94,11 +98,23 @@
 	}
 }
 
+// lasting records by how many servers the prefill stage should shrink. It reports whether
+// to order that now: the first time at once, and then only if it should have shrunk, or
+// grown, for as long as a change of stage takes. A shorter imbalance, as after a crash of
+// servers that come back, is over before the change would help.
+func (b *balance) lasting(wish int, stageChangeTime time.Duration) bool {
+	if wish > 0 != (b.wish > 0) || wish < 0 != (b.wish < 0) {
+		b.wishedSince = time.Now()
+	}
+	b.wish = wish
+	return wish != 0 && (!b.ordered || time.Since(b.wishedSince) >= stageChangeTime)
+}
+
 // demand returns the demand of a service, up to a factor: the work in the time that the
 // decayed sums cover, relative to that time.
 func (b *balance) demand(e *directory.Engine) stageDemand {
 	seconds := averagingTime.Seconds()
-	d := stageDemand{prefill: b.prefillWork / seconds, decode: b.decodeWork / seconds}
+	d := stageDemand{prefill: b.prefillWork / seconds, decode: b.decodeWork / seconds, runs: b.runs}
 	if b.runMemory > 0 {
 		d.runsPerServer = min(float64(e.Slots), projectedShare*float64(e.MemoryTokens)*b.runs/b.runMemory)
 	}
@@ -161,7 +177,6 @@
 	b.decodeWork += (prefillMillis + run.Answer*stepMillis) / 1000 * tokens / memory
 	b.runMemory += tokens
 	b.runs++
-	b.counted++
 }
 
 // reassign orders a server of a stage to the other one. switchTime is the time that the
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -154,6 +154,7 @@
 func (x *exchange) checkReplaced(b *backend, reply *Reply) {
 	if reply.Misdirected && b.setReplaced(time.Now()) {
 		x.warn("server replaced", "server", b.Name(), "addr", b.server.Load().Addr, "revision", b.server.Load().Revision)
+		x.router.shareUsage(b)
 	}
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -99,6 +99,9 @@
 		if !o.StageChangeUntil.IsZero() {
 			b.stageChangeUntil.Store(o.StageChangeUntil.UnixNano())
 		}
+		if !o.ReplacedUntil.IsZero() && o.Started == b.server.Load().Started {
+			b.replacedRemotely.Store(max(b.replacedRemotely.Load(), o.ReplacedUntil.UnixNano()))
+		}
 		u.Tokens += o.PrefillTokens
 		u.Slots += len(o.Runs)
 		for _, run := range o.Runs {
@@ -119,13 +122,21 @@
 	r.dispatch.Pump()
 }
 
-// shareUsage publishes what this entry has in use at a server to the other entries.
+// shareUsage publishes what this entry has in use at a server to the other entries. For
+// a registration that is no longer the present one it publishes that of the present one:
+// a server that has changed its stage may still serve calls of the stage before.
 func (r *Router) shareUsage(b *backend) {
 	if r.options.Peers == nil {
 		return
 	}
-	current := r.fleet.get(b.Name()) == b
-	out := loadexchange.Usage{Calls: int(b.localCalls.Load()), Unreachable: current && !b.health.usable(), BrokenCallTimes: b.broken.recentLocal(time.Now())}
+	current := r.fleet.get(b.Name())
+	if current != nil {
+		b = current
+	}
+	out := loadexchange.Usage{Calls: int(b.localCalls.Load()), Unreachable: current != nil && !b.health.usable(), BrokenCallTimes: b.broken.recentLocal(time.Now())}
+	if until := b.replacedUntil.Load(); until > time.Now().UnixNano() {
+		out.ReplacedUntil, out.Started = time.Unix(0, until), b.server.Load().Started
+	}
 	if b.orderedLocally.Load() {
 		out.StageChangeUntil = time.Unix(0, b.stageChangeUntil.Load())
 	}
--- a/internal/router/split.go
+++ b/internal/router/split.go
@@ -8,6 +8,8 @@
 	prefill, decode float64
 	// runsPerServer is the number of mean runs that fill the memory of one server.
 	runsPerServer float64
+	// runs is the number of runs from which the demand was estimated.
+	runs float64
 }
 
 // growth returns the factor by which the demand may grow until one of the stages has
@@ -30,13 +32,23 @@
 	// minStageServers is the minimum number of servers in each stage, so that a stage
 	// survives the loss of one.
 	minStageServers = 2
-	// minSplitGain is the factor by which a split must sustain more load than the present
+	// minSplitGain is the fraction by which a split must sustain more load than the present
 	// one, since a server serves nothing while it changes its stage.
-	minSplitGain = 1.05
+	minSplitGain = 0.05
+	// splitDeviations is the number of standard deviations of the estimated demand by
+	// which a gain must exceed its error, so that the split does not follow noise. The
+	// relative deviation of n runs is about 1/sqrt(n).
+	splitDeviations = 1
 )
 
+// minGain returns the fraction by which a split must sustain more load than the present
+// one.
+func (d stageDemand) minGain() float64 {
+	return max(minSplitGain, splitDeviations/math.Sqrt(max(1, d.runs)))
+}
+
 // bestSplit returns the number of prefill servers with which a service sustains the
-// most load, or the present number if no other is better by minSplitGain.
+// most load, or the present number if no other is better by minGain.
 func (d stageDemand) bestSplit(prefillServers, decodeServers int) int {
 	all, best := prefillServers+decodeServers, prefillServers
 	if all < 2*minStageServers || d.prefill <= 0 || d.decode <= 0 || d.runsPerServer <= 0 {
@@ -46,7 +58,7 @@
 	if prefillServers >= minStageServers && decodeServers >= minStageServers {
 		present = d.growth(prefillServers, decodeServers)
 	}
-	most := minSplitGain * present
+	most := (1 + d.minGain()) * present
 	for n := minStageServers; n <= all-minStageServers; n++ {
 		if g := d.growth(n, all-n); g > most {
 			best, most = n, g
