--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -114,8 +114,24 @@
 	// Started is the Unix time in milliseconds at which the server started; 0 when
 	// unknown.
 	Started int64
-	// Revision increases with each change of the registration.
-	Revision uint64
+	// Version increases with each change of the registration.
+	Version Version
+	// Restored registrations were read from an older copy with which the registry came
+	// back, and were perhaps not written since.
+	Restored bool
+
+	// drainHeld is set while the registration is draining only because a later state of
+	// it, which the registry has lost, was draining.
+	drainHeld bool
+}
+
+// Version orders the states of a registry. The registry may come back from an older copy;
+// its era is higher then, and revisions are given out again.
+type Version struct{ Era, Revision uint64 }
+
+// Before reports whether v is older than o.
+func (v Version) Before(o Version) bool {
+	return v.Era < o.Era || v.Era == o.Era && v.Revision < o.Revision
 }
 
 // Snapshot is the content of a directory at one time. It is immutable.
@@ -140,11 +156,33 @@
 	// missing are the servers whose registration expired around an outage of the
 	// registry, with the times until which they are kept.
 	missing map[string]time.Time
+	// gone are the servers that were removed within goneTTL, by ID.
+	gone map[string]goneServer
+	// held are the servers that get no new work until a time, although their restored
+	// registration is ready.
+	held map[string]time.Time
+}
+
+// goneServer is a server that was removed.
+type goneServer struct {
+	started int64
+	version Version
+	at      time.Time
 }
 
+const (
+	// goneTTL is the time for which removed servers are remembered: longer than the age
+	// of a copy with which a registry comes back.
+	goneTTL = 60 * time.Second
+	// holdTime is the time for which a server gets no new work whose registration was
+	// removed before the registry came back with it. A server that lives writes it again
+	// within that time, and one that does not has it removed again.
+	holdTime = 4 * time.Second
+)
+
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{missing: map[string]time.Time{}}
+	d := &Directory{missing: map[string]time.Time{}, gone: map[string]goneServer{}, held: map[string]time.Time{}}
 	d.current.Store(&Snapshot{Servers: map[string]*Server{}})
 	ch := make(chan struct{})
 	d.changed.Store(&ch)
@@ -190,25 +228,56 @@
 }
 
 // Put adds or replaces a server. It ignores a registration older than the present
-// one and reports false.
+// one and reports false. What is known of a server is kept when the registry comes back
+// older: a server that was draining still is, until it starts again, and one that was
+// removed gets new work only after holdTime, or when its registration is written again.
 func (d *Directory) Put(s *Server) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.missing, s.ID)
-	if old, ok := d.Current().Servers[s.ID]; ok && old.Revision > s.Revision {
+	old, known := d.Current().Servers[s.ID]
+	if known && s.Version.Before(old.Version) {
 		return false
 	}
-	d.updateServers(func(m map[string]*Server) { m[s.ID] = s })
+	delete(d.missing, s.ID)
+	if !known || s.Version != old.Version {
+		delete(d.held, s.ID)
+	}
+	next := *s
+	if known && old.Started == s.Started {
+		next.drainHeld = old.drainHeld || old.Draining && old.Version.Era < s.Version.Era
+		if old.ColdUntil.Before(s.ColdUntil) {
+			next.ColdUntil = old.ColdUntil // the same warm-up, read again
+		}
+	}
+	if left, ok := d.gone[s.ID]; !known && ok && s.Restored && left.started == s.Started && left.version.Era < s.Version.Era {
+		d.held[s.ID] = time.Now().Add(holdTime)
+	}
+	_, held := d.held[s.ID]
+	next.Draining = s.Draining || next.drainHeld || held
+	d.updateServers(func(m map[string]*Server) { m[s.ID] = &next })
 	return true
 }
 
+// recordGone remembers a server that is removed, and forgets those that were removed
+// long ago.
+func (d *Directory) recordGone(s *Server, now time.Time) {
+	for id, g := range d.gone {
+		if now.Sub(g.at) > goneTTL {
+			delete(d.gone, id)
+		}
+	}
+	delete(d.held, s.ID)
+	d.gone[s.ID] = goneServer{started: s.Started, version: s.Version, at: now}
+}
+
 // Remove removes a server: at once if keep is 0, or by a call of Expire after keep
 // unless it registers again. keep is for registrations that may have expired because
 // of an outage of the registry.
 func (d *Directory) Remove(id string, keep time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ok := d.Current().Servers[id]; !ok {
+	s, ok := d.Current().Servers[id]
+	if !ok {
 		return
 	}
 	if keep > 0 {
@@ -218,11 +287,12 @@
 		return
 	}
 	delete(d.missing, id)
+	d.recordGone(s, time.Now())
 	d.updateServers(func(m map[string]*Server) { delete(m, id) })
 }
 
 // Expire removes the missing servers whose time to register again is over, and
-// returns their IDs.
+// returns their IDs. It lets the servers take new work again that were held long enough.
 func (d *Directory) Expire(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -231,6 +301,15 @@
 		if now.After(until) {
 			expired = append(expired, id)
 			delete(d.missing, id)
+			d.recordGone(d.Current().Servers[id], now)
+		}
+	}
+	for id, until := range d.held {
+		if now.After(until) {
+			delete(d.held, id)
+			free := *d.Current().Servers[id]
+			free.Draining = free.drainHeld
+			d.updateServers(func(m map[string]*Server) { m[id] = &free })
 		}
 	}
 	if len(expired) > 0 {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -51,8 +51,8 @@
 func TestOlderRegistrationsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	d := New()
-	is.True(d.Put(&Server{ID: "s", Service: "svc", Draining: true, Revision: 7}))
-	is.True(!d.Put(&Server{ID: "s", Service: "svc", Revision: 5}))
+	is.True(d.Put(&Server{ID: "s", Service: "svc", Draining: true, Version: Version{Revision: 7}}))
+	is.True(!d.Put(&Server{ID: "s", Service: "svc", Version: Version{Revision: 5}}))
 	is.True(d.Current().Servers["s"].Draining)
 	is.Equal(len(d.Current().Services["svc"]), 1)
 }
@@ -70,7 +70,7 @@
 		d.Remove("stays away", 2*time.Second)
 		time.Sleep(time.Second)
 		d.Remove("stays away", 2*time.Second) // a second removal adds no time
-		d.Put(&Server{ID: "returns", Service: "svc", Revision: 2})
+		d.Put(&Server{ID: "returns", Service: "svc", Version: Version{Revision: 2}})
 		is.Equal(len(d.Expire(time.Now())), 0)
 		time.Sleep(1100 * time.Millisecond)
 		is.Equal(d.Expire(time.Now()), []string{"stays away"})
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -5,14 +5,11 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/matryer/is"
 
 	"github.com/samphirestream/samphirestream/internal/emulator"
@@ -117,16 +114,10 @@
 			l.Deadline = max(l.Deadline, 4*l.FirstToken)
 			o := atLoad(e, l, load)
 			o.Seed = uint64(i)
-			if os.Getenv("DRAW") == fmt.Sprint(i) {
-				w, _ := os.Create("/tmp/draw.log")
-				o.Logger = log.NewJSONLogger(log.NewSyncWriter(w))
-			}
 			t.Run(fmt.Sprint(i), func(t *testing.T) {
 				t.Parallel()
 				t.Logf("%.1f requests a second, %+v", o.Load.PerSecond, e)
-				r := play(t, o)
-				show(t, o, r)
-				all.add(o, r)
+				all.add(o, play(t, o))
 			})
 		}
 	})
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/predict"
 )
 
@@ -55,6 +56,9 @@
 	// OnWaiting is called with the arrival times of the requests that wait for a
 	// pool at the peers.
 	OnWaiting func(pool string, arrivals []time.Time)
+	// OnRegistry, if not nil, is called with the newest state of the registry that a peer
+	// has read.
+	OnRegistry func(at directory.Version)
 	// OnSpeeds is called with what the peers have observed of the speeds of a service.
 	OnSpeeds func(service string, others []predict.SpeedSums)
 }
@@ -87,7 +91,9 @@
 	speeds      map[string]predict.SpeedSums
 	dirtySpeeds map[string]bool
 	sentSpeeds  map[string]float64
-	peers       map[string]*peer // by address
+	// registry is the newest state of the registry that this entry has read.
+	registry directory.Version
+	peers    map[string]*peer // by address
 	// newPeers are discovered peers to which no full message was sent yet.
 	newPeers map[string]bool
 	// assumed is set if the last count of entries was made within discoveryTime of
@@ -163,6 +169,14 @@
 	}
 }
 
+// SetRegistry sets the newest state of the registry that this entry has read. It is sent
+// with the next full message.
+func (x *Exchange) SetRegistry(at directory.Version) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.registry = at
+}
+
 // speedsLocked returns this entry's observations of some services and records that they
 // are sent.
 func (x *Exchange) speedsLocked(services map[string]bool) map[string]predict.SpeedSums {
@@ -305,6 +319,7 @@
 func (x *Exchange) fullLocked(now time.Time) *message {
 	x.seq++
 	m := &message{Incarnation: x.incarnation, Seq: x.seq, Full: true, Uses: map[string]Usage{}}
+	m.RegistryEra, m.RegistryRevision = x.registry.Era, x.registry.Revision
 	for addr, p := range x.peers {
 		if p.alive(now) {
 			m.Members = append(m.Members, addr)
@@ -451,6 +466,9 @@
 	if len(m.Speeds) > 0 {
 		x.notifySpeeds()
 	}
+	if m.RegistryRevision > 0 && x.options.OnRegistry != nil {
+		x.options.OnRegistry(directory.Version{Era: m.RegistryEra, Revision: m.RegistryRevision})
+	}
 }
 
 // notifySpeeds calls OnSpeeds for each service that a peer has reported. The
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -123,6 +123,10 @@
 	Waits map[string][]int64 `cbor:"7,keyasint,omitempty"`
 	// Speeds are what the sender has observed of the speeds of servers, by service.
 	Speeds map[string]predict.SpeedSums `cbor:"8,keyasint,omitempty"`
+	// RegistryEra and RegistryRevision are the newest state of the registry that the
+	// sender has read; in full messages only.
+	RegistryEra      uint64 `cbor:"9,keyasint,omitempty"`
+	RegistryRevision uint64 `cbor:"10,keyasint,omitempty"`
 	// Leaving is set in the last message of a process that stops.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -153,7 +153,7 @@
 // server.
 func (x *exchange) checkReplaced(b *backend, reply *Reply) {
 	if reply.Misdirected && b.setReplaced(time.Now()) {
-		x.warn("server replaced", "server", b.Name(), "addr", b.server.Load().Addr, "revision", b.server.Load().Revision)
+		x.warn("server replaced", "server", b.Name(), "addr", b.server.Load().Addr, "revision", b.server.Load().Version.Revision)
 		x.router.shareUsage(b)
 	}
 }
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -134,7 +134,7 @@
 			started int64
 			want    bool
 		}{{0, false}, {7, true}} {
-			other.directory.Put(&directory.Server{ID: "a1", Service: "app", Slots: 6, DataCentre: "dc", Started: tc.started, Revision: uint64(tc.started)})
+			other.directory.Put(&directory.Server{ID: "a1", Service: "app", Slots: 6, DataCentre: "dc", Started: tc.started, Version: directory.Version{Revision: uint64(tc.started)}})
 			other.SetRemoteUsage("a1", []loadexchange.Usage{u})
 			sent := false
 			before := len(other.servers.recorded())
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -262,7 +262,7 @@
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		for _, id := range []string{"a1", "a2"} {
-			f.directory.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc", Draining: true, Revision: 2})
+			f.directory.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc", Draining: true, Version: directory.Version{Revision: 2}})
 		}
 		f.directory.Remove("a3", 0)
 		a := f.call(context.Background(), "/once/x")
