Waiting jobs of other entries are matched to servers by the size of their prompts

Change: announcements hold the length of the prompt. Each older job takes the first server that has memory for it; only the first that fits nowhere keeps a server for itself (backfilling). A peer that leaves no longer leaves its waiting jobs behind.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -58,9 +59,16 @@
 	RefuseWhileDown bool
 	// Seed is that of the random choices between equal servers; 0 draws one.
 	Seed uint64
-	// Announce, if not nil, is called with the arrival times of the jobs that wait in a
-	// pool when they change. The dispatcher's lock is held during the call.
-	Announce func(model string, arrivals []time.Duration)
+	// Announce, if not nil, is called with the jobs that wait in a pool when they change.
+	// The dispatcher's lock is held during the call.
+	Announce func(model string, waiting []Waiting)
+}
+
+// Waiting is a job that waits in a pool of this or another process.
+type Waiting struct {
+	Arrived time.Duration
+	// Prompt is the length of the prompt in tokens.
+	Prompt int
 }
 
 // Dispatcher holds the queues of one process, in one pool per model. It is safe for
@@ -289,14 +297,14 @@
 	d.poolLocked(j.Model).lengths.Add(j.lengthKey(), tokens)
 }
 
-// SetRemoteArrivals stores the arrival times of the jobs that wait at other
-// processes for servers of a pool. It sorts arrivals.
-func (d *Dispatcher[S]) SetRemoteArrivals(model string, arrivals []time.Duration) {
-	slices.Sort(arrivals)
+// SetRemoteWaiting stores the jobs that wait at other processes for servers of a pool.
+// It sorts waiting.
+func (d *Dispatcher[S]) SetRemoteWaiting(model string, waiting []Waiting) {
+	slices.SortFunc(waiting, func(a, b Waiting) int { return cmp.Compare(a.Arrived, b.Arrived) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.poolLocked(model)
-	p.remoteArrivals = arrivals
+	p.remoteWaiting = waiting
 	if p.sched.Len() > 0 {
 		p.pump()
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -37,9 +38,10 @@
 	queueChanged bool
 	// announced is the number of jobs in the last announcement.
 	announced int
-	// remoteArrivals are the sorted arrival times of the jobs that wait at the other
-	// processes.
-	remoteArrivals []time.Duration
+	// remoteWaiting are the jobs that wait at the other processes, sorted by arrival, and
+	// ahead is a buffer for the prompts of those that arrived before a job.
+	remoteWaiting []Waiting
+	ahead         []int
 
 	prefills, decodes         []S
 	prefillViews, decodeViews []*placement.Server
@@ -132,7 +134,7 @@
 
 // state returns the numbers of waiting jobs and of available servers.
 func (p *pool[S]) state() PoolState {
-	return PoolState{LocalWaiting: p.sched.Len(), RemoteWaiting: len(p.remoteArrivals), PrefillServers: countAvailable(p.prefillViews), DecodeServers: countAvailable(p.decodeViews)}
+	return PoolState{LocalWaiting: p.sched.Len(), RemoteWaiting: len(p.remoteWaiting), PrefillServers: countAvailable(p.prefillViews), DecodeServers: countAvailable(p.decodeViews)}
 }
 
 // localBefore returns the number of jobs in the queue that arrived before a time.
@@ -216,25 +218,24 @@
 	p.queueChanged = true
 }
 
-// announce sends the arrival times of the waiting jobs to the other processes if they
-// changed.
+// announce sends the waiting jobs to the other processes if they changed.
 func (p *pool[S]) announce() {
 	if !p.queueChanged || p.d.options.Announce == nil || len(p.waiting)+p.announced == 0 {
 		return
 	}
 	p.queueChanged, p.announced = false, len(p.waiting)
-	arrivals := make([]time.Duration, 0, len(p.waiting))
+	waiting := make([]Waiting, 0, len(p.waiting))
 	for w := range p.waiting {
-		arrivals = append(arrivals, w.job.Arrived)
+		waiting = append(waiting, Waiting{Arrived: w.job.Arrived, Prompt: w.request.PromptTokens})
 	}
-	slices.Sort(arrivals)
-	p.d.options.Announce(p.model, arrivals)
+	slices.SortFunc(waiting, func(a, b Waiting) int { return cmp.Compare(a.Arrived, b.Arrived) })
+	p.d.options.Announce(p.model, waiting)
 }
 
 // remoteBefore returns the number of jobs waiting at other processes that arrived
 // before a time.
 func (p *pool[S]) remoteBefore(arrived time.Duration) int {
-	n, _ := slices.BinarySearch(p.remoteArrivals, arrived)
+	n, _ := slices.BinarySearchFunc(p.remoteWaiting, arrived, func(w Waiting, at time.Duration) int { return cmp.Compare(w.Arrived, at) })
 	return n
 }
 
@@ -277,23 +278,29 @@
 // no others fit.
 //
 // While jobs wait at several processes, all processes would assign the same memory as
-// soon as it is free. Therefore the job that arrived first uses the first server with
-// free memory in the order of the fleet, the next one the second, and so on; a job for
-// which no such server is left waits.
+// soon as it is free. Therefore each leaves to the jobs that arrived before at other
+// processes the servers that these use by the same rule: see Planner.PlanAfter.
 func (p *pool[S]) plan(w *Waiter[S]) (placement.Plan, bool) {
 	p.prepare(w)
-	position := placement.AnyPosition
-	if len(p.remoteArrivals) > 0 {
-		position = p.remoteBefore(w.job.Arrived)
-	}
-	plan, ok := p.planner.PlanAtPosition(p.d.rnd, &w.need, p.prefillViews, p.decodeViews, position)
+	plan, ok := p.planAfter(w)
 	if !ok && w.need.ExcludedMark != 0 {
 		w.need.ExcludedMark = 0
-		plan, ok = p.planner.PlanAtPosition(p.d.rnd, &w.need, p.prefillViews, p.decodeViews, position)
+		plan, ok = p.planAfter(w)
 	}
 	return plan, ok
 }
 
+func (p *pool[S]) planAfter(w *Waiter[S]) (placement.Plan, bool) {
+	if len(p.remoteWaiting) == 0 {
+		return p.planner.Plan(p.d.rnd, &w.need, p.prefillViews, p.decodeViews)
+	}
+	p.ahead = p.ahead[:0]
+	for _, r := range p.remoteWaiting[:p.remoteBefore(w.job.Arrived)] {
+		p.ahead = append(p.ahead, r.Prompt)
+	}
+	return p.planner.PlanAfter(p.d.rnd, &w.need, p.prefillViews, p.decodeViews, p.ahead)
+}
+
 // pumpAfter pumps the pool again after d, within minPumpWait and maxPumpWait.
 func (p *pool[S]) pumpAfter(d time.Duration) {
 	if p.timer != nil {
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -136,7 +136,7 @@
 		Self: addr(i), Seeds: []string{addr(0)},
 		OnUsage:   func(server string, others []loadexchange.Usage) { r.SetRemoteUsage(server, others) },
 		OnSpeeds:  func(service string, others []predict.SpeedSums) { r.SetRemoteSpeeds(service, others) },
-		OnWaiting: func(pool string, arrivals []time.Time) { r.SetRemoteArrivals(pool, arrivals) },
+		OnWaiting: func(pool string, waiting []loadexchange.Waiting) { r.SetRemoteWaiting(pool, waiting) },
 	}, f.options.Logger)
 	b := f.options.Budget
 	r = router.New(dir, f.servers, router.Options{
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -53,9 +53,8 @@
 	Seeds []string
 	// OnUsage is called with the use of a server by each of the peers that use it.
 	OnUsage func(server string, others []Usage)
-	// OnWaiting is called with the arrival times of the requests that wait for a
-	// pool at the peers.
-	OnWaiting func(pool string, arrivals []time.Time)
+	// OnWaiting is called with the requests that wait for a pool at the peers.
+	OnWaiting func(pool string, waiting []Waiting)
 	// OnRegistry, if not nil, is called with the newest state of the registry that a peer
 	// has read.
 	OnRegistry func(at directory.Version)
@@ -81,9 +80,9 @@
 	// changed since it was sent.
 	localUse map[string]Usage
 	dirty    map[string]bool
-	// waits are the arrival times of this entry's waiting requests, by pool; dirtyWaits
+	// waits are this entry's waiting requests, by pool; dirtyWaits
 	// are the pools for which they have changed since they were sent.
-	waits      map[string][]time.Time
+	waits      map[string][]Waiting
 	dirtyWaits map[string]bool
 	// speeds are this entry's observations, by service; dirtySpeeds are the services for
 	// which they are to be sent before the next full message, and sentSpeeds the weights
@@ -91,6 +90,8 @@
 	speeds      map[string]predict.SpeedSums
 	dirtySpeeds map[string]bool
 	sentSpeeds  map[string]float64
+	// remotePools are the pools for which a peer has ever reported waiting requests.
+	remotePools map[string]bool
 	// registry is the newest state of the registry that this entry has read.
 	registry directory.Version
 	peers    map[string]*peer // by address
@@ -110,7 +111,7 @@
 	return &Exchange{
 		options: o, conn: conn, log: logger, incarnation: time.Now().UnixMilli(), started: time.Now(), flush: make(chan struct{}, 1),
 		seeds: o.Seeds, localUse: map[string]Usage{}, dirty: map[string]bool{}, peers: map[string]*peer{},
-		waits: map[string][]time.Time{}, dirtyWaits: map[string]bool{}, newPeers: map[string]bool{},
+		remotePools: map[string]bool{}, waits: map[string][]Waiting{}, dirtyWaits: map[string]bool{}, newPeers: map[string]bool{},
 		speeds: map[string]predict.SpeedSums{}, dirtySpeeds: map[string]bool{}, sentSpeeds: map[string]float64{},
 	}
 }
@@ -143,12 +144,12 @@
 	}
 }
 
-// PublishArrivals sets the arrival times of this entry's requests that wait for a
-// pool and schedules a message to the peers.
-func (x *Exchange) PublishArrivals(pool string, arrivals []time.Time) {
+// PublishWaiting sets this entry's requests that wait for a pool and schedules a message
+// to the peers.
+func (x *Exchange) PublishWaiting(pool string, waiting []Waiting) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.waits[pool] = arrivals
+	x.waits[pool] = waiting
 	x.dirtyWaits[pool] = true
 	x.requestFlush()
 }
@@ -191,15 +192,16 @@
 // maxWaitsPerPool is the maximum number of waiting requests of a pool in one message.
 const maxWaitsPerPool = 32
 
-// agesLocked returns the ages in milliseconds of the waiting requests of some pools.
-func (x *Exchange) agesLocked(pools map[string]bool, now time.Time) map[string][]int64 {
-	out := map[string][]int64{}
+// waitingLocked returns the waiting requests of some pools with their ages.
+func (x *Exchange) waitingLocked(pools map[string]bool, now time.Time) map[string][]Waiting {
+	out := map[string][]Waiting{}
 	for pool := range pools {
-		ages := []int64{}
-		for _, t := range x.waits[pool][:min(len(x.waits[pool]), maxWaitsPerPool)] {
-			ages = append(ages, now.Sub(t).Milliseconds())
+		waiting := []Waiting{}
+		for _, w := range x.waits[pool][:min(len(x.waits[pool]), maxWaitsPerPool)] {
+			w.Age = now.Sub(w.Arrived).Milliseconds()
+			waiting = append(waiting, w)
 		}
-		out[pool] = ages
+		out[pool] = waiting
 	}
 	return out
 }
@@ -336,7 +338,7 @@
 	for pool := range x.waits {
 		all[pool] = true
 	}
-	m.Waits = x.agesLocked(all, now)
+	m.Waits = x.waitingLocked(all, now)
 	services := map[string]bool{}
 	for service := range x.speeds {
 		services[service] = true
@@ -358,7 +360,7 @@
 	for server := range x.dirty {
 		m.Uses[server] = x.localUse[server].withAges(now)
 	}
-	m.Waits, m.Speeds = x.agesLocked(x.dirtyWaits, now), x.speedsLocked(x.dirtySpeeds)
+	m.Waits, m.Speeds = x.waitingLocked(x.dirtyWaits, now), x.speedsLocked(x.dirtySpeeds)
 	x.dirty, x.dirtyWaits, x.dirtySpeeds = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	to := map[string]bool{}
 	for addr, p := range x.peers {
@@ -435,6 +437,9 @@
 	known := ok && p.incarnation == m.Incarnation && p.alive(now)
 	changed := p.apply(m, now)
 	waitsChanged := p.applyWaits(m, now)
+	for pool := range m.Waits {
+		x.remotePools[pool] = true
+	}
 	for service, s := range m.Speeds {
 		p.speeds[service] = s
 	}
@@ -487,19 +492,22 @@
 	}
 }
 
-// notifyWaits calls OnWaiting for each pool that a peer has reported, with the
-// arrivals at all peers.
+// notifyWaits calls OnWaiting for each pool that a peer has ever reported, with the
+// requests that wait at all peers.
 func (x *Exchange) notifyWaits() {
-	all := map[string][]time.Time{}
+	all := map[string][]Waiting{}
 	x.mu.Lock()
+	for pool := range x.remotePools {
+		all[pool] = nil
+	}
 	for _, p := range x.peers {
 		for pool, list := range p.waits {
 			all[pool] = append(all[pool], list...)
 		}
 	}
 	x.mu.Unlock()
-	for pool, arrivals := range all {
-		x.options.OnWaiting(pool, arrivals)
+	for pool, waiting := range all {
+		x.options.OnWaiting(pool, waiting)
 	}
 }
 
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -106,6 +106,16 @@
 	return u.ReplacedUntil.IsZero() && u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
 }
 
+// Waiting is a request that waits for a server.
+type Waiting struct {
+	// Prompt is the length of the prompt in tokens.
+	Prompt int `cbor:"1,keyasint"`
+	// Arrived is the time at which the request arrived.
+	Arrived time.Time `cbor:"-"`
+	// Age is the time since Arrived in milliseconds, in messages only.
+	Age int64 `cbor:"2,keyasint"`
+}
+
 // message is one datagram.
 type message struct {
 	// Incarnation is the time at which the sender's process started, in Unix
@@ -119,8 +129,8 @@
 	// Members are the addresses of the sender's live peers; in full messages only.
 	Members []string         `cbor:"4,keyasint,omitempty"`
 	Uses    map[string]Usage `cbor:"5,keyasint,omitempty"`
-	// Waits are the ages in milliseconds of the waiting requests, by pool.
-	Waits map[string][]int64 `cbor:"7,keyasint,omitempty"`
+	// Waits are the waiting requests, by pool.
+	Waits map[string][]Waiting `cbor:"11,keyasint,omitempty"`
 	// Speeds are what the sender has observed of the speeds of servers, by service.
 	Speeds map[string]predict.SpeedSums `cbor:"8,keyasint,omitempty"`
 	// RegistryEra and RegistryRevision are the newest state of the registry that the
@@ -147,9 +157,9 @@
 	seq          uint64
 	lastReceived time.Time
 	uses         map[string]Usage
-	// waits are the arrival times of the waiting requests, by pool, and waitSeqs the
-	// sequence numbers of the messages that last set them.
-	waits    map[string][]time.Time
+	// waits are the waiting requests, by pool, and waitSeqs the sequence numbers of the
+	// messages that last set them.
+	waits    map[string][]Waiting
 	waitSeqs map[string]uint64
 	// speeds are the observations of the speeds of servers, by service.
 	speeds map[string]predict.SpeedSums
@@ -160,7 +170,7 @@
 func newPeer(incarnation int64) *peer {
 	return &peer{
 		incarnation: incarnation, uses: map[string]Usage{}, seqs: map[string]uint64{},
-		waits: map[string][]time.Time{}, waitSeqs: map[string]uint64{}, speeds: map[string]predict.SpeedSums{},
+		waits: map[string][]Waiting{}, waitSeqs: map[string]uint64{}, speeds: map[string]predict.SpeedSums{},
 	}
 }
 
@@ -178,14 +188,15 @@
 // changed. Messages older than the recorded state are ignored.
 func (p *peer) applyWaits(m *message, now time.Time) bool {
 	changed := false
-	for pool, ages := range m.Waits {
+	for pool, waiting := range m.Waits {
 		if p.waitSeqs[pool] >= m.Seq {
 			continue
 		}
 		p.waitSeqs[pool] = m.Seq
 		p.waits[pool] = p.waits[pool][:0]
-		for _, age := range ages {
-			p.waits[pool] = append(p.waits[pool], now.Add(-time.Duration(age)*time.Millisecond))
+		for _, w := range waiting {
+			w.Arrived = now.Add(-time.Duration(w.Age) * time.Millisecond)
+			p.waits[pool] = append(p.waits[pool], w)
 		}
 		changed = true
 	}
--- a/internal/placement/filter_projected.go
+++ b/internal/placement/filter_projected.go
@@ -18,3 +18,13 @@
 	extra := Run{Prompt: r.PromptTokens, Answer: r.AnswerTokens, Began: r.Now + r.ForecastHorizon}
 	return s.Project(r.Now).Fits(&extra, (f.MemoryShare-r.ReservedShare)*float64(s.report.PiecesTotal))
 }
+
+// room returns the longest prompt, in tokens, for which a counted server has memory while
+// a request runs whose answer is as long as that of r; 0 when it takes none.
+func (s *Server) room(r *Request, memoryShare float64) float64 {
+	if s.Unavailable || r.Now < s.refusedUntil || s.SlotsUsed() >= s.report.SlotsTotal {
+		return 0
+	}
+	empty := Run{Answer: r.AnswerTokens, Began: r.Now + r.ForecastHorizon}
+	return max(0, (memoryShare-r.ReservedShare)*float64(s.report.PiecesTotal)-s.Project(r.Now).Peak(&empty))
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -19,7 +19,11 @@
 	// times from the prefill to the first token.
 	Speeds *predict.Speeds
 
+	// MemoryShare is the fraction of the memory of counted servers that requests may use.
+	MemoryShare float64
+
 	waits []time.Duration // buffer of Wait
+	room  []float64       // buffer of firstLeft
 }
 
 // Parameters of the default planner. Costs are in milliseconds.
@@ -69,48 +73,82 @@
 	return p.Prefill.Choose(rnd, r, servers)
 }
 
-// AnyPosition is the queue position of a request that competes with no request of
-// another entry.
-const AnyPosition = -1
-
 // Plan chooses both servers. It reports false when no prefill or no decode
 // server may take the request now.
 func (p *Planner) Plan(rnd *rand.Rand, r *Request, prefills, decodes []*Server) (Plan, bool) {
-	return p.PlanAtPosition(rnd, r, prefills, decodes, AnyPosition)
+	return p.plan(rnd, r, prefills, decodes, func() (int, bool) {
+		c, ok := p.Decode.Choose(rnd, r, decodes)
+		return c.Index, ok
+	})
+}
+
+// PlanAfter is Plan for a request that competes with requests of other entries. ahead are
+// the prompts of those that arrived before it, in the order of their arrival. Each of them
+// uses the first server in the order of the fleet that has memory for it, of those that are
+// left, so that the entries choose different servers. The first of them for which no
+// server has memory keeps the one with the most free memory from the others, so that a
+// large request is not overtaken for ever; the ones after it, which fit nowhere either,
+// keep nothing from smaller ones (backfilling: Lifka, The ANL/IBM SP Scheduling System,
+// 1995).
+func (p *Planner) PlanAfter(rnd *rand.Rand, r *Request, prefills, decodes []*Server, ahead []int) (Plan, bool) {
+	return p.plan(rnd, r, prefills, decodes, func() (int, bool) { return p.firstLeft(r, decodes, ahead) })
 }
 
-// PlanAtPosition is Plan for a request that competes with requests of other entries.
-// position is the number of those ahead of it and the index of its decode server
-// among the servers that may take it, so that the entries choose different servers.
-func (p *Planner) PlanAtPosition(rnd *rand.Rand, r *Request, prefills, decodes []*Server, position int) (Plan, bool) {
+// firstLeft returns the first decode server that may take a request and that the requests
+// ahead of it leave.
+func (p *Planner) firstLeft(r *Request, decodes []*Server, ahead []int) (int, bool) {
+	kept := p.Decode.Kept(r, decodes)
+	if len(kept) == 0 || len(ahead) == 0 {
+		return first(kept)
+	}
+	p.room = p.room[:0]
+	for _, s := range decodes {
+		p.room = append(p.room, s.room(r, p.MemoryShare))
+	}
+	reserved := false
+	for _, prompt := range ahead {
+		at := slices.IndexFunc(p.room, func(room float64) bool { return room >= float64(prompt) })
+		if at < 0 && !reserved {
+			reserved = true
+			for i, room := range p.room {
+				if room > 0 && (at < 0 || room > p.room[at]) {
+					at = i
+				}
+			}
+		}
+		if at >= 0 {
+			p.room[at] = 0
+		}
+	}
+	return first(slices.DeleteFunc(kept, func(i int) bool { return p.room[i] <= 0 }))
+}
+
+func first(list []int) (int, bool) {
+	if len(list) == 0 {
+		return -1, false
+	}
+	return list[0], true
+}
+
+// plan chooses a prefill server and then a decode server by chooseDecode.
+func (p *Planner) plan(rnd *rand.Rand, r *Request, prefills, decodes []*Server, chooseDecode func() (int, bool)) (Plan, bool) {
 	pre, ok := p.ChoosePrefill(rnd, r, prefills)
 	if !ok {
 		return Plan{}, false
 	}
 	ready := time.Duration(pre.Cost * float64(time.Millisecond))
 	r.ForecastHorizon = time.Duration(float64(ready) * (1 - r.Caution))
-	dec, ok := p.chooseDecode(rnd, r, decodes, position)
+	dec, ok := chooseDecode()
 	if !ok {
 		return Plan{}, false
 	}
 	return Plan{
-		Prefill: pre.Index, Decode: dec.Index,
+		Prefill: pre.Index, Decode: dec,
 		Wait:       time.Duration(prefills[pre.Index].WaitMillis(r.Now) * float64(time.Millisecond)),
-		FirstToken: ready + time.Duration(decodes[dec.Index].StepMillis()*float64(time.Millisecond)),
+		FirstToken: ready + time.Duration(decodes[dec].StepMillis()*float64(time.Millisecond)),
 	}, true
 }
 
-func (p *Planner) chooseDecode(rnd *rand.Rand, r *Request, decodes []*Server, position int) (Choice, bool) {
-	if position == AnyPosition {
-		return p.Decode.Choose(rnd, r, decodes)
-	}
-	kept := p.Decode.Kept(r, decodes)
-	if position >= len(kept) {
-		return Choice{Index: -1}, false
-	}
-	return Choice{Index: kept[position]}, true
-}
-
 // Wait predicts how long a request waits until a counted decode server has memory
 // for it; slots are not considered. ahead is the number of requests that are placed before it, one at each
 // server, and share the fraction of the memory that may be used. It reports false when no server
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/predict"
@@ -13,9 +14,9 @@
 type Peers interface {
 	// PublishUsage publishes what this entry has in use at a server.
 	PublishUsage(server string, u loadexchange.Usage)
-	// PublishArrivals publishes the arrival times of the requests that wait at this
-	// entry for servers of a service.
-	PublishArrivals(service string, arrivals []time.Time)
+	// PublishWaiting publishes the requests that wait at this entry for servers of a
+	// service.
+	PublishWaiting(service string, waiting []loadexchange.Waiting)
 	// PublishSpeeds publishes what this entry has observed of the speeds of a service.
 	PublishSpeeds(service string, s predict.SpeedSums)
 	// Entries returns the number of entries, this one included.
@@ -30,26 +31,25 @@
 	return r.options.Peers.Entries()
 }
 
-// announce publishes the arrival times of the requests that wait at this entry.
-func (r *Router) announce(service string, arrivals []time.Duration) {
+// announce publishes the requests that wait at this entry.
+func (r *Router) announce(service string, waiting []dispatch.Waiting) {
 	if r.options.Peers == nil {
 		return
 	}
-	out := make([]time.Time, len(arrivals))
-	for i, a := range arrivals {
-		out[i] = r.dispatch.ToWallClock(a)
+	out := make([]loadexchange.Waiting, len(waiting))
+	for i, w := range waiting {
+		out[i] = loadexchange.Waiting{Prompt: w.Prompt, Arrived: r.dispatch.ToWallClock(w.Arrived)}
 	}
-	r.options.Peers.PublishArrivals(service, out)
+	r.options.Peers.PublishWaiting(service, out)
 }
 
-// SetRemoteArrivals stores the arrival times of the requests that wait at other
-// entries.
-func (r *Router) SetRemoteArrivals(service string, arrivals []time.Time) {
-	out := make([]time.Duration, len(arrivals))
-	for i, a := range arrivals {
-		out[i] = r.dispatch.FromWallClock(a)
+// SetRemoteWaiting stores the requests that wait at other entries.
+func (r *Router) SetRemoteWaiting(service string, waiting []loadexchange.Waiting) {
+	out := make([]dispatch.Waiting, len(waiting))
+	for i, w := range waiting {
+		out[i] = dispatch.Waiting{Prompt: w.Prompt, Arrived: r.dispatch.FromWallClock(w.Arrived)}
 	}
-	r.dispatch.SetRemoteArrivals(service, out)
+	r.dispatch.SetRemoteWaiting(service, out)
 }
 
 // shareSpeeds publishes what this entry has observed of the speeds of a service.
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -27,7 +27,8 @@
 // newPlanner returns the planner for the servers of a service, whose load is counted.
 func newPlanner(speeds *predict.Speeds) *placement.Planner {
 	return &placement.Planner{
-		Speeds: speeds,
+		Speeds:      speeds,
+		MemoryShare: projectedShare,
 		Prefill: &placement.Pipeline{
 			Must:    []placement.Filter{placement.Usable{}},
 			Prefer:  []placement.Filter{placement.NotRefused{}, placement.NotStalled{}},
