Split of stages: prefill servers may queue within half of the target

Cause: the split kept prefill servers for bursts as if each prefill had to begin at once, while a prefill of 100 ms may wait for some others under a target of 900 ms. Decode memory, which binds, went without these servers.

Change: the staffing rule counts as places of a prefill server the prefills that it ends within half of the target for the first token.

--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -92,20 +92,27 @@
 // prior returns the assumed speeds of the engines of a service. Its shortest target
 // between events counts.
 func prior(c *directory.Config, service *directory.Service) predict.Prior {
-	gap := time.Duration(0)
-	for _, r := range c.Routes {
-		serves := slices.ContainsFunc(r.Shares, func(s directory.TrafficShare) bool { return s.Service == service.Name })
-		if serves && r.GapTarget > 0 && (gap == 0 || r.GapTarget < gap) {
-			gap = r.GapTarget
-		}
-	}
 	out := defaultPrior
-	if gap > 0 {
+	if gap := shortest(c, service, func(r *directory.Route) time.Duration { return r.GapTarget }); gap > 0 {
 		out.StepMillis = assumedGapShare * milliseconds(gap) / float64(service.Engine.EventTokens)
 	}
 	return out
 }
 
+// shortest returns the shortest target of the routes that a service serves; 0 if none has
+// one.
+func shortest(c *directory.Config, service *directory.Service, target func(*directory.Route) time.Duration) time.Duration {
+	out := time.Duration(0)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		serves := slices.ContainsFunc(r.Shares, func(s directory.TrafficShare) bool { return s.Service == service.Name })
+		if t := target(r); serves && t > 0 && (out == 0 || t < out) {
+			out = t
+		}
+	}
+	return out
+}
+
 // assumedStep is the assumed time between two tokens where no route has a target.
 const assumedStep = 20 * time.Millisecond
 
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -33,6 +33,9 @@
 	orderNotice = 100 * time.Millisecond
 	// orderTimeout bounds the call that gives one order.
 	orderTimeout = time.Second
+	// prefillTargetShare is the fraction of the target for the first token that a request
+	// may spend at its prefill server.
+	prefillTargetShare = 0.5
 )
 
 // balance is what the holder of orders knows of the demand of one service.
@@ -80,7 +83,8 @@
 			if time.Since(b.lastOrders) < orderInterval {
 				continue
 			}
-			n := prefills - b.demand(svc.Engine).bestSplit(prefills, decodes)
+			d := b.demand(svc.Engine, firstTokenTarget(snap.Config, svc))
+			n := prefills - d.bestSplit(prefills, decodes)
 			if !b.lasting(n, svc.Engine.StageChangeTime) {
 				continue
 			}
@@ -90,7 +94,7 @@
 			}
 			b.ordered, b.lastOrders = true, time.Now()
 			_ = level.Info(r.log).Log("msg", "split changes", "service", name, "prefill_servers", prefills, "decode_servers", decodes,
-				"from", from, "servers", n, "prefill_demand", b.demand(svc.Engine).prefill, "decode_demand", b.demand(svc.Engine).decode)
+				"from", from, "servers", n, "prefill_demand", d.prefill, "decode_demand", d.decode, "runs", int(d.runs))
 			for _, server := range r.leastUsed(name, from, n) {
 				orders.Go(func() { r.reassign(ctx, holder, server, from, svc.Engine.StageChangeTime) })
 			}
@@ -110,12 +114,19 @@
 	return wish != 0 && (!b.ordered || time.Since(b.wishedSince) >= stageChangeTime)
 }
 
+// firstTokenTarget returns the shortest target for the first token of the routes that a
+// service serves; 0 if none has one.
+func firstTokenTarget(c *directory.Config, service *directory.Service) time.Duration {
+	return shortest(c, service, func(r *directory.Route) time.Duration { return r.LatencyTarget })
+}
+
 // demand returns the demand of a service, up to a factor: the work in the time that the
-// decayed sums cover, relative to that time.
-func (b *balance) demand(e *directory.Engine) stageDemand {
+// decayed sums cover, relative to that time. target is that for the first token.
+func (b *balance) demand(e *directory.Engine, target time.Duration) stageDemand {
 	seconds := averagingTime.Seconds()
 	d := stageDemand{prefill: b.prefillWork / seconds, decode: b.decodeWork / seconds, runs: b.runs}
 	if b.runMemory > 0 {
+		d.prefillsPerServer = max(1, prefillTargetShare*target.Seconds()*b.runs/b.prefillWork)
 		d.runsPerServer = min(float64(e.Slots), projectedShare*float64(e.MemoryTokens)*b.runs/b.runMemory)
 	}
 	return d
--- a/internal/router/split.go
+++ b/internal/router/split.go
@@ -6,8 +6,10 @@
 // keep busy with prefills, and whose memory they fill with decodes.
 type stageDemand struct {
 	prefill, decode float64
-	// runsPerServer is the number of mean runs that fill the memory of one server.
-	runsPerServer float64
+	// runsPerServer is the number of mean runs that fill the memory of one server, and
+	// prefillsPerServer the number of mean prefills, one after the other, that a server
+	// ends in the time that requests may spend there.
+	runsPerServer, prefillsPerServer float64
 	// runs is the number of runs from which the demand was estimated.
 	runs float64
 }
@@ -15,11 +17,11 @@
 // growth returns the factor by which the demand may grow until one of the stages has
 // too few servers.
 func (d stageDemand) growth(prefillServers, decodeServers int) float64 {
-	return min(sustained(float64(prefillServers), 1)/d.prefill, sustained(float64(decodeServers), d.runsPerServer)/d.decode)
+	return min(sustained(float64(prefillServers), d.prefillsPerServer)/d.prefill, sustained(float64(decodeServers), d.runsPerServer)/d.decode)
 }
 
 // sustained returns the mean number of busy servers that a stage sustains, where each
-// serves a number of requests at once. By the rule of square-root staffing (Halfin and
+// holds a number of requests. By the rule of square-root staffing (Halfin and
 // Whitt, 1981) a mean load of r requests needs r + sqrt(r) places, since the number of
 // requests varies by its square root.
 func sustained(servers, requestsPerServer float64) float64 {
@@ -51,7 +53,7 @@
 // most load, or the present number if no other is better by minGain.
 func (d stageDemand) bestSplit(prefillServers, decodeServers int) int {
 	all, best := prefillServers+decodeServers, prefillServers
-	if all < 2*minStageServers || d.prefill <= 0 || d.decode <= 0 || d.runsPerServer <= 0 {
+	if all < 2*minStageServers || d.prefill <= 0 || d.decode <= 0 || d.runsPerServer <= 0 || d.prefillsPerServer <= 0 {
 		return prefillServers
 	}
 	present := 0.0 // a stage below its minimum number has to get servers
