Entries exchange less: plain calls at once only while busy, peers and speeds rarely

Change: the calls at a plain server are told at once from half of its slots on, and else with the full message of each second; every fifth full message is complete. A time-out of an attempt at a plain server counted as a caller that had left, so that a hanging server was not held to have failed (test fails without the change).

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -25,6 +25,9 @@
 const (
 	// fullInterval is the interval of full messages, which also serve as heartbeats.
 	fullInterval = time.Second
+	// completeEvery is the number of full messages of which one is complete: it also has
+	// what changes rarely, the sender's peers and the speeds of servers.
+	completeEvery = 5
 	// peerTimeout is the time without a message after which a peer's load is discarded:
 	// two and a half heartbeat intervals, so that two lost datagrams are tolerated.
 	peerTimeout = 2500 * time.Millisecond
@@ -76,6 +79,8 @@
 	mu    sync.Mutex // guards the fields below
 	seeds []string
 	seq   uint64
+	// fulls is the number of regular full messages so far.
+	fulls int
 	// localUse is this entry's use, by server; dirty are the servers whose use has
 	// changed since it was sent.
 	localUse map[string]Usage
@@ -123,9 +128,9 @@
 	x.seeds = seeds
 }
 
-// PublishUsage sets this entry's present use of a server and schedules a message to
-// the peers.
-func (x *Exchange) PublishUsage(server string, u Usage) {
+// PublishUsage sets this entry's present use of a server. It is sent to the peers at
+// once if it is urgent, and else with the next full message.
+func (x *Exchange) PublishUsage(server string, u Usage, urgent bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if u.empty() {
@@ -133,8 +138,10 @@
 	} else {
 		x.localUse[server] = u
 	}
-	x.dirty[server] = true
-	x.requestFlush()
+	if urgent {
+		x.dirty[server] = true
+		x.requestFlush()
+	}
 }
 
 func (x *Exchange) requestFlush() {
@@ -286,7 +293,8 @@
 // sendFull sends a full message to all peers and seeds.
 func (x *Exchange) sendFull(leaving bool) {
 	x.mu.Lock()
-	m := x.fullLocked(time.Now())
+	m := x.fullLocked(time.Now(), x.fulls%completeEvery == 0)
+	x.fulls++
 	m.Leaving = leaving
 	to := map[string]bool{}
 	for _, seed := range x.seeds {
@@ -312,18 +320,19 @@
 		x.mu.Unlock()
 		return
 	}
-	m := x.fullLocked(time.Now())
+	m := x.fullLocked(time.Now(), true)
 	x.mu.Unlock()
 	x.send(m, to)
 }
 
-// fullLocked returns a full message and removes the uses that have ended.
-func (x *Exchange) fullLocked(now time.Time) *message {
+// fullLocked returns a full message, complete or not, and removes the uses that have
+// ended.
+func (x *Exchange) fullLocked(now time.Time, complete bool) *message {
 	x.seq++
 	m := &message{Incarnation: x.incarnation, Seq: x.seq, Full: true, Uses: map[string]Usage{}}
 	m.RegistryEra, m.RegistryRevision = x.registry.Era, x.registry.Revision
 	for addr, p := range x.peers {
-		if p.alive(now) {
+		if complete && p.alive(now) {
 			m.Members = append(m.Members, addr)
 		}
 	}
@@ -339,11 +348,13 @@
 		all[pool] = true
 	}
 	m.Waits = x.waitingLocked(all, now)
-	services := map[string]bool{}
-	for service := range x.speeds {
-		services[service] = true
+	if complete {
+		services := map[string]bool{}
+		for service := range x.speeds {
+			services[service] = true
+		}
+		m.Speeds = x.speedsLocked(services)
 	}
-	m.Speeds = x.speedsLocked(services)
 	return m
 }
 
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -167,11 +167,11 @@
 func TestNewEntriesReceiveLoadAtOnce(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
-		m[0].PublishUsage("s", Usage{Calls: 2})
-		m[2].PublishUsage("s", Usage{Calls: 3})
+		m[0].PublishUsage("s", Usage{Calls: 2}, true)
+		m[2].PublishUsage("s", Usage{Calls: 3}, true)
 		time.Sleep(fullInterval / 2)
 		fresh := n.start("10.0.0.4:1", a)
-		fresh.PublishUsage("s", Usage{Calls: 4})
+		fresh.PublishUsage("s", Usage{Calls: 4}, true)
 		time.Sleep(10 * batchDelay)
 		is.Equal(fresh.remoteCalls("s"), 5)
 		is.Equal(m[2].remoteCalls("s"), 6)
@@ -183,14 +183,14 @@
 func TestChangesAreSentAtOnce(t *testing.T) {
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
-		m[0].PublishUsage("s", Usage{Calls: 2})
-		m[1].PublishUsage("s", Usage{Calls: 3})
+		m[0].PublishUsage("s", Usage{Calls: 2}, true)
+		m[1].PublishUsage("s", Usage{Calls: 3}, true)
 		m[1].PublishWaiting("pool", []Waiting{{Arrived: time.Now()}})
 		time.Sleep(2 * batchDelay)
 		is.Equal(m[2].remoteCalls("s"), 5)
 		is.Equal(m[0].remoteCalls("s"), 3) // without its own use
 		is.Equal(m[2].waiting(), 1)
-		m[0].PublishUsage("s", Usage{})
+		m[0].PublishUsage("s", Usage{}, true)
 		m[1].PublishWaiting("pool", nil)
 		time.Sleep(2 * batchDelay)
 		is.Equal(m[2].remoteCalls("s"), 3)
@@ -204,12 +204,12 @@
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
 		until := time.Now().Add(6 * time.Second)
-		m[0].PublishUsage("s", Usage{StageChangeUntil: until})
+		m[0].PublishUsage("s", Usage{StageChangeUntil: until}, true)
 		for range 4 {
 			time.Sleep(time.Second)
 			is.True(m[1].stageChangeUntil("s").Sub(until).Abs() < 10*time.Millisecond)
 		}
-		m[0].PublishUsage("s", Usage{})
+		m[0].PublishUsage("s", Usage{}, true)
 		time.Sleep(time.Second)
 		is.True(m[1].stageChangeUntil("s").IsZero())
 	})
@@ -219,7 +219,7 @@
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
 		for _, unreachable := range []bool{true, false} {
-			m[0].PublishUsage("s", Usage{Unreachable: unreachable})
+			m[0].PublishUsage("s", Usage{Unreachable: unreachable}, true)
 			time.Sleep(2 * fullInterval)
 			m[1].mu.Lock()
 			got := m[1].unreachable["s"]
@@ -241,7 +241,7 @@
 func TestEndedUsesAreRemoved(t *testing.T) {
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
-		m[0].PublishUsage("s", Usage{BrokenCallTimes: []time.Time{time.Now()}})
+		m[0].PublishUsage("s", Usage{BrokenCallTimes: []time.Time{time.Now()}}, true)
 		time.Sleep(BrokenCallWindow + 2*fullInterval)
 		for _, x := range m {
 			x.Exchange.mu.Lock()
@@ -261,7 +261,7 @@
 		n.mu.Lock()
 		n.drop = func(from, to string) bool { return from == a && to == b }
 		n.mu.Unlock()
-		m[0].PublishUsage("s", Usage{Calls: 1})
+		m[0].PublishUsage("s", Usage{Calls: 1}, true)
 		time.Sleep(2 * batchDelay)
 		is.Equal(m[1].remoteCalls("s"), 0)
 		n.mu.Lock()
@@ -275,7 +275,7 @@
 func TestLoadOfUnresponsivePeersIsDiscarded(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
-		m[0].PublishUsage("s", Usage{Calls: 1})
+		m[0].PublishUsage("s", Usage{Calls: 1}, true)
 		m[0].PublishWaiting("pool", []Waiting{{Arrived: time.Now()}})
 		time.Sleep(2 * batchDelay)
 		n.mu.Lock()
@@ -294,7 +294,7 @@
 func TestLeavingPeersAreRemovedAtOnce(t *testing.T) {
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
-		m[0].PublishUsage("s", Usage{Calls: 1})
+		m[0].PublishUsage("s", Usage{Calls: 1}, true)
 		m[0].PublishWaiting("pool", []Waiting{{Arrived: time.Now()}})
 		time.Sleep(2 * batchDelay)
 		is.Equal(m[1].waiting(), 1)
@@ -324,7 +324,7 @@
 func TestRestartWithClockSetBackIsAccepted(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
-		m[2].PublishUsage("s", Usage{Calls: 1})
+		m[2].PublishUsage("s", Usage{Calls: 1}, true)
 		time.Sleep(fullInterval)
 		is.Equal(m[0].remoteCalls("s"), 1)
 		n.setDrop(func(from, _ string) bool { return from == c }) // as if it were killed: its last message is lost
@@ -335,7 +335,7 @@
 		restarted.Exchange.mu.Lock()
 		restarted.incarnation -= time.Minute.Milliseconds()
 		restarted.Exchange.mu.Unlock()
-		restarted.PublishUsage("s", Usage{Calls: 2})
+		restarted.PublishUsage("s", Usage{Calls: 2}, true)
 		time.Sleep(peerTimeout + 2*fullInterval)
 		is.Equal(m[0].remoteCalls("s"), 2)
 		is.Equal(m[1].remoteCalls("s"), 2)
@@ -369,7 +369,7 @@
 		time.Sleep(2 * fullInterval)
 		sender.PublishUsage("s", Usage{
 			Runs: []Run{{Prompt: 1, Answer: 1, Began: time.Now()}}, StageChangeUntil: time.Now().Add(5 * time.Second),
-		})
+		}, true)
 		time.Sleep(3*fullInterval + batchDelay)
 		mu.Lock()
 		is.True(time.Since(received.Runs[0].Began) >= 2*time.Second)
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -126,7 +126,7 @@
 	// Full is set in messages with all servers that the sender uses; others hold only
 	// those whose use changed.
 	Full bool `cbor:"3,keyasint,omitempty"`
-	// Members are the addresses of the sender's live peers; in full messages only.
+	// Members are the addresses of the sender's live peers; in complete messages only.
 	Members []string         `cbor:"4,keyasint,omitempty"`
 	Uses    map[string]Usage `cbor:"5,keyasint,omitempty"`
 	// Waits are the waiting requests, by pool.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -12,8 +12,9 @@
 
 // Peers shares the state of this entry with the other entries.
 type Peers interface {
-	// PublishUsage publishes what this entry has in use at a server.
-	PublishUsage(server string, u loadexchange.Usage)
+	// PublishUsage publishes what this entry has in use at a server: at once if it is
+	// urgent, else within about a second.
+	PublishUsage(server string, u loadexchange.Usage, urgent bool)
 	// PublishWaiting publishes the requests that wait at this entry for servers of a
 	// service.
 	PublishWaiting(service string, waiting []loadexchange.Waiting)
@@ -125,7 +126,32 @@
 // shareUsage publishes what this entry has in use at a server to the other entries. For
 // a registration that is no longer the present one it publishes that of the present one:
 // a server that has changed its stage may still serve calls of the stage before.
-func (r *Router) shareUsage(b *backend) {
+func (r *Router) shareUsage(b *backend) { r.publishUsage(b, true) }
+
+// busyShare is the fraction of the slots of a plain server in use from which the entries
+// tell each other each call at once. Below it calls wait for no slot, and it is enough to
+// know about how many there are.
+const busyShare = 0.5
+
+// beginCall begins a call of this entry at a plain server. It returns the number of calls
+// that the server has then.
+func (r *Router) beginCall(b *backend) int64 {
+	calls := b.localCalls.Add(1) + b.remoteCalls.Load()
+	r.publishUsage(b, busy(b, calls))
+	return calls
+}
+
+// endCall ends a call of this entry at a plain server.
+func (r *Router) endCall(b *backend) {
+	calls := b.localCalls.Add(-1) + b.remoteCalls.Load()
+	r.publishUsage(b, busy(b, calls+1)) // the other entries know of the ended call
+}
+
+func busy(b *backend, calls int64) bool {
+	return float64(calls) >= busyShare*float64(b.server.Load().Slots)
+}
+
+func (r *Router) publishUsage(b *backend, urgent bool) {
 	if r.options.Peers == nil {
 		return
 	}
@@ -149,5 +175,5 @@
 			}
 		})
 	}
-	r.options.Peers.PublishUsage(b.Name(), out)
+	r.options.Peers.PublishUsage(b.Name(), out, urgent)
 }
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -22,12 +22,22 @@
 type recordingPeers struct {
 	mu     sync.Mutex
 	usages map[string]loadexchange.Usage
+	urgent int // urgent publications
 }
 
-func (p *recordingPeers) PublishUsage(server string, u loadexchange.Usage) {
+func (p *recordingPeers) PublishUsage(server string, u loadexchange.Usage, urgent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usages[server] = u
+	if urgent {
+		p.urgent++
+	}
+}
+
+func (p *recordingPeers) urgentCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.urgent
 }
 
 func (p *recordingPeers) usage(server string) loadexchange.Usage {
@@ -148,3 +158,46 @@
 		}
 	})
 }
+
+// TestCallsAreSharedAtOnceWhileBusy sends calls to plain servers that are mostly idle, and
+// then more than half of what they serve at once.
+func TestCallsAreSharedAtOnceWhileBusy(t *testing.T) {
+	withPeers(t, func(t *testing.T, f *fleet, p *recordingPeers) {
+		is := is.New(t)
+		var calls sync.WaitGroup
+		defer calls.Wait()
+		f.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+			time.Sleep(100 * time.Millisecond)
+			return ok("ok")(ctx, o)
+		})
+		send := func(n int) {
+			for range n {
+				calls.Go(func() { f.call(context.Background(), "/once/x") })
+				synctest.Wait() // each call knows of those before it
+			}
+		}
+		send(6) // two of six slots at each server
+		is.Equal(p.urgentCount(), 0)
+		send(3)
+		is.Equal(p.urgentCount(), 3)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(p.urgentCount(), 6) // and the first end of a call at each
+	})
+}
+
+// TestAttemptsThatTimeOutCountAsFailures has a server hang. The time-out of an attempt is
+// the server's failure, not a caller that left.
+func TestAttemptsThatTimeOutCountAsFailures(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.servers.set("a1", hangs)
+		for range 12 {
+			f.call(context.Background(), "/safe/x")
+		}
+		for _, s := range f.Snapshot().Servers {
+			if s.ID == "a1" {
+				is.True(s.FailureRate > 0)
+			}
+		}
+	})
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -100,15 +100,11 @@
 // tryPlain makes one attempt at a server.
 func (x *exchange) tryPlain(ctx context.Context, b *backend) plainOutcome {
 	x.tried[b.Name()] = true
-	callsPerSlot := float64(b.localCalls.Add(1)+b.remoteCalls.Load()) / float64(max(1, b.server.Load().Slots))
-	x.router.shareUsage(b)
-	defer func() {
-		b.localCalls.Add(-1)
-		x.router.shareUsage(b)
-	}()
+	callsPerSlot := float64(x.router.beginCall(b)) / float64(max(1, b.server.Load().Slots))
+	defer x.router.endCall(b)
 	if x.route.Kind == directory.Idempotent && x.attempts+1 < x.route.Attempts {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptShare*float64(x.timeLeft())))
+		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(attemptShare*float64(x.timeLeft())), errTimeout)
 		defer cancel()
 	}
 	sent := time.Now()
