agent: a decode that ends normally gives back its provider's share once

Found by reading: finishDecode released the reservation, and the removal of the attempt released it again, so that the provider seemed to hold less than it did. The test failed first.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -234,3 +234,20 @@
 	c, _, _ := x.nextChunk(s)
 	is.Equal(c.Tokens, []string{"b", "c"})
 }
+
+// TestEndedDecodeGivesBackOneShare ends one of two decodes of a provider normally and
+// then removes it, as when its last token is acknowledged. The provider still holds the
+// share of the other one and must yield to a provider that holds none.
+func TestEndedDecodeGivesBackOneShare(t *testing.T) {
+	is := is.New(t)
+	a := newPlainAgent(t, &countingService{})
+	for range 2 {
+		a.shares.Acquire("p", 1)
+	}
+	ended := &attempt{id: "1", provider: "p", reserved: true, cancel: func() {}}
+	a.attempts[ended.id] = ended
+	a.finishDecode(ended)
+	is.True(a.removeAttempt(ended))
+	a.shares.RecordUnmetDemand(a.uptime(), "q", 1)
+	is.True(a.shares.MustYield(a.uptime(), "p", 1))
+}
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -288,7 +288,7 @@
 		return
 	}
 	a.releaseResources(t)
-	t.slots, t.pieces, t.claimed = 0, 0, 0
+	t.slots, t.pieces, t.claimed, t.reserved = 0, 0, 0, false
 	t.phase = phaseFinished
 	a.publishLocked()
 }
