--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -76,7 +76,7 @@
 
 const rootHelp = `samphirectl checks release notes and settings, shows which part of a fleet has
 which release note, dumps the state of processes, shows from logs what happened
-to a request, and runs a demo fleet.
+to a request, runs a demo fleet, and plays loads on emulated engines.
 
 Flags stand before the arguments. Each can be set by an environment variable as
 well: SAMPHIRECTL_ and its name, such as SAMPHIRECTL_SERVICE for -service.
@@ -86,6 +86,7 @@
   samphirectl status -vm-list http://10.0.0.2:9001
   samphirectl explain 9c41d07be2a35f68 front-*.log
   samphirectl demo
+  samphirectl experiment engine.yaml
 
 EXIT CODES
   0  success
@@ -102,7 +103,7 @@
 func newRoot(out, errOut io.Writer) *ffcli.Command {
 	p := &printer{out: out, errOut: errOut}
 	return p.group("samphirectl", "samphirectl COMMAND [flags] [arguments]", "", rootHelp,
-		p.noteCommand(), p.settingsCommand(), p.statusCommand(), p.dumpCommand(), p.explainCommand(), p.demoCommand(), p.versionCommand())
+		p.noteCommand(), p.settingsCommand(), p.statusCommand(), p.dumpCommand(), p.explainCommand(), p.demoCommand(), p.experimentCommand(), p.versionCommand())
 }
 
 // group returns a command that only has subcommands.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -77,7 +77,12 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{dir: t.TempDir()}
 	note2 := "schema: samphirestream/v1\nnumber: 2\nprevious: " + release.Digest([]byte(note1)) + "\n" + note2Body
+	experiment, err := os.ReadFile(filepath.Join("testdata", "experiment.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, text := range map[string]string{
+		"engine.yaml": string(experiment), "idle.yaml": strings.Replace(string(experiment), "slots: 16", "slots: 0", 1),
 		"1.yaml": note1, "2.yaml": note2, "front.log": frontLog,
 		"node.toml": platformSettings, "bad.toml": strings.Replace(platformSettings, ", grace_s = 8", "", 1),
 		"typo.yaml":  strings.Replace(note1, "window_tokens", "window", 1),
@@ -141,6 +146,13 @@
 		{"note check -h", ExitOK, "", "EXAMPLES"},
 		{"note check -bad @1.yaml", ExitUsage, "", "not defined: -bad"},
 		{"note check", ExitUsage, "", "no file"},
+		{"experiment", ExitUsage, "", "0 files: give one"},
+		{"experiment @none.yaml", ExitFailure, "", "no such file"},
+		{"experiment @idle.yaml", ExitInvalid, "", "idle.yaml: engine.slots: 0 is not possible"},
+		{"experiment @1.yaml", ExitInvalid, "", "unknown key"},
+		{"experiment -plot @plot.xyz @engine.yaml", ExitFailure, "", "xyz"},
+		{"experiment @engine.yaml", ExitOK, "on time", ""},
+		{"experiment -json -plot @plot.svg @engine.yaml", ExitOK, `"on_time": 2`, ""},
 		{"note check @1.yaml", ExitOK, "valid: note 1", ""},
 		{"note check @1.yaml @2.yaml", ExitOK, "warning: model reader@1 has 0 prefill and 2 decode servers", ""},
 		{"note check -fold @1.yaml @2.yaml", ExitOK, "valid: note 2", ""},
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -32,8 +32,7 @@
 // atLoad returns options with the rate at which the service needs a fraction of its
 // servers, in prefill and decode servers together.
 func atLoad(e emulator.Engine, l emulator.Load, fraction float64) emulator.Options {
-	prefill, decode := emulator.Demand(&e, &l)
-	l.PerSecond = fraction * float64(e.Servers) / (prefill + decode)
+	l.PerSecond = emulator.RateAt(&e, &l, fraction)
 	return emulator.Options{Entries: 6, Engine: e, Load: l, Seed: 1, Budget: budget}
 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -19,12 +19,12 @@
 
 // Options configure a fleet.
 type Options struct {
-	Entries int        `yaml:"entries"`
-	Engine  Engine     `yaml:"engine"`
-	Load    Load       `yaml:"load"`
-	Seed    uint64     `yaml:"seed"`
-	Budget  Budget     `yaml:"budget"`
-	Logger  log.Logger `yaml:"-"`
+	Entries int
+	Engine  Engine
+	Load    Load
+	Seed    uint64
+	Budget  Budget
+	Logger  log.Logger // nil for none
 }
 
 // Budget is the retry budget of the service.
@@ -34,19 +34,27 @@
 	Slack  float64       `yaml:"slack"`
 }
 
-// Result counts what the callers got and what the servers did.
+// Result counts what the callers got and what the servers did after the warm-up.
 type Result struct {
 	// Requests are all requests of callers. OnTime were answered within both latency
 	// targets, Late were answered whole otherwise, Refused were not run, and Failed
 	// ended without a whole answer.
-	Requests, OnTime, Late, Refused, Failed int
-	// Prefills are the prompts that were prefilled; WastedPrefills those of them that no
-	// server decoded.
-	Prefills, PrefilledTokens, WastedPrefills, RefusedPrefills int
+	Requests int `json:"requests"`
+	OnTime   int `json:"on_time"`
+	Late     int `json:"late"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// Prefills are the prompts that were prefilled, with PrefilledTokens in all;
+	// WastedPrefills those of them that no server decoded.
+	Prefills        int `json:"prefills"`
+	PrefilledTokens int `json:"prefilled_tokens"`
+	WastedPrefills  int `json:"wasted_prefills"`
+	RefusedPrefills int `json:"refused_prefills"`
 	// Decodes are the offers to decode servers, of which RefusedDecodes were refused.
-	Decodes, RefusedDecodes int
+	Decodes        int `json:"decodes"`
+	RefusedDecodes int `json:"refused_decodes"`
 	// Orders are the changes of stage.
-	Orders int
+	Orders int `json:"orders"`
 }
 
 // Fleet is a set of entries in front of emulated servers.
