--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,6 +5,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -227,14 +228,47 @@
 	d.current.Store(&next)
 }
 
-// Put adds or replaces a server. It ignores a registration older than the present
-// one and reports false. What is known of a server is kept when the registry comes back
-// older: a server that was draining still is, until it starts again, and one that was
-// removed gets new work only after holdTime, or when its registration is written again.
-func (d *Directory) Put(s *Server) bool {
+// Change is a change of the registration of one server.
+type Change struct {
+	// Put, if not nil, is the new registration; otherwise that of ID is removed.
+	Put *Server
+	ID  string
+	// Keep is the time for which a removed server stays unless it registers again, for
+	// registrations that may have expired because of an outage of the registry.
+	Keep time.Duration
+}
+
+// Apply applies changes in their order and publishes one snapshot with all of them. It
+// reports for each whether it had an effect: a registration older than the present one
+// has none.
+//
+// What is known of a server is kept when the registry comes back older: a server that
+// was draining still is, until it starts again, and one that was removed gets new work
+// only after holdTime, or when its registration is written again.
+func (d *Directory) Apply(changes []Change) []bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old, known := d.Current().Servers[s.ID]
+	u := d.update()
+	effects := make([]bool, len(changes))
+	for i, c := range changes {
+		if c.Put != nil {
+			effects[i] = d.put(u, c.Put)
+			continue
+		}
+		effects[i] = d.remove(u, c.ID, c.Keep)
+	}
+	u.publish()
+	return effects
+}
+
+// Put applies one registration.
+func (d *Directory) Put(s *Server) bool { return d.Apply([]Change{{Put: s}})[0] }
+
+// Remove applies one removal.
+func (d *Directory) Remove(id string, keep time.Duration) { d.Apply([]Change{{ID: id, Keep: keep}}) }
+
+func (d *Directory) put(u *update, s *Server) bool {
+	old, known := u.get(s.ID)
 	if known && s.Version.Before(old.Version) {
 		return false
 	}
@@ -254,7 +288,24 @@
 	}
 	_, held := d.held[s.ID]
 	next.Draining = s.Draining || next.drainHeld || held
-	d.updateServers(func(m map[string]*Server) { m[s.ID] = &next })
+	u.put(&next)
+	return true
+}
+
+func (d *Directory) remove(u *update, id string, keep time.Duration) bool {
+	s, ok := u.get(id)
+	if !ok {
+		return false
+	}
+	if keep > 0 {
+		if _, pending := d.missing[id]; !pending {
+			d.missing[id] = time.Now().Add(keep)
+		}
+		return true
+	}
+	delete(d.missing, id)
+	d.recordGone(s, time.Now())
+	u.remove(s)
 	return true
 }
 
@@ -270,73 +321,103 @@
 	d.gone[s.ID] = goneServer{started: s.Started, version: s.Version, at: now}
 }
 
-// Remove removes a server: at once if keep is 0, or by a call of Expire after keep
-// unless it registers again. keep is for registrations that may have expired because
-// of an outage of the registry.
-func (d *Directory) Remove(id string, keep time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s, ok := d.Current().Servers[id]
-	if !ok {
-		return
-	}
-	if keep > 0 {
-		if _, pending := d.missing[id]; !pending {
-			d.missing[id] = time.Now().Add(keep)
-		}
-		return
-	}
-	delete(d.missing, id)
-	d.recordGone(s, time.Now())
-	d.updateServers(func(m map[string]*Server) { delete(m, id) })
-}
-
 // Expire removes the missing servers whose time to register again is over, and
 // returns their IDs. It lets the servers take new work again that were held long enough.
 func (d *Directory) Expire(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	u := d.update()
 	var expired []string
 	for id, until := range d.missing {
-		if now.After(until) {
+		if !now.After(until) {
+			continue
+		}
+		delete(d.missing, id)
+		if s, ok := u.get(id); ok {
 			expired = append(expired, id)
-			delete(d.missing, id)
-			d.recordGone(d.Current().Servers[id], now)
+			d.recordGone(s, now)
+			u.remove(s)
 		}
 	}
 	for id, until := range d.held {
-		if now.After(until) {
-			delete(d.held, id)
-			free := *d.Current().Servers[id]
+		if !now.After(until) {
+			continue
+		}
+		delete(d.held, id)
+		if s, ok := u.get(id); ok {
+			free := *s
 			free.Draining = free.drainHeld
-			d.updateServers(func(m map[string]*Server) { m[id] = &free })
+			u.put(&free)
 		}
 	}
-	if len(expired) > 0 {
-		d.updateServers(func(m map[string]*Server) {
-			for _, id := range expired {
-				delete(m, id)
-			}
-		})
-	}
+	u.publish()
 	return expired
 }
 
-// updateServers publishes a snapshot with a changed copy of the table of servers.
-func (d *Directory) updateServers(change func(map[string]*Server)) {
-	next := *d.Current()
-	servers := make(map[string]*Server, len(next.Servers)+1)
-	for id, s := range next.Servers {
-		servers[id] = s
+// update is a change of the table of servers that is not published yet. It copies the
+// table, and the list of each service that changes, once.
+type update struct {
+	directory *Directory
+	next      Snapshot
+	changed   bool
+	// copied are the services whose lists are copies.
+	copied map[string]bool
+}
+
+// update begins a change. The caller holds d.mu until it is published.
+func (d *Directory) update() *update {
+	return &update{directory: d, next: *d.Current(), copied: map[string]bool{}}
+}
+
+func (u *update) get(id string) (*Server, bool) {
+	s, ok := u.next.Servers[id]
+	return s, ok
+}
+
+// copyFor makes the table and the list of a service copies that may change, and returns
+// the list.
+func (u *update) copyFor(service string) []*Server {
+	if !u.changed {
+		u.changed = true
+		u.next.Servers, u.next.Services = maps.Clone(u.next.Servers), maps.Clone(u.next.Services)
+		if u.next.Services == nil {
+			u.next.Services = map[string][]*Server{}
+		}
 	}
-	change(servers)
-	next.Servers = servers
-	next.Services = map[string][]*Server{}
-	for _, s := range servers {
-		next.Services[s.Service] = append(next.Services[s.Service], s)
+	if !u.copied[service] {
+		u.copied[service] = true
+		u.next.Services[service] = slices.Clone(u.next.Services[service])
 	}
-	for _, list := range next.Services {
-		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	return u.next.Services[service]
+}
+
+func compareID(s *Server, id string) int { return strings.Compare(s.ID, id) }
+
+func (u *update) put(s *Server) {
+	if old, ok := u.get(s.ID); ok {
+		u.remove(old)
+	}
+	list := u.copyFor(s.Service)
+	i, _ := slices.BinarySearchFunc(list, s.ID, compareID)
+	u.next.Services[s.Service] = slices.Insert(list, i, s)
+	u.next.Servers[s.ID] = s
+}
+
+func (u *update) remove(s *Server) {
+	list := u.copyFor(s.Service)
+	if i, ok := slices.BinarySearchFunc(list, s.ID, compareID); ok {
+		list = slices.Delete(list, i, i+1)
+	}
+	if u.next.Services[s.Service] = list; len(list) == 0 {
+		delete(u.next.Services, s.Service)
+		delete(u.copied, s.Service)
+	}
+	delete(u.next.Servers, s.ID)
+}
+
+// publish puts the change in force, if there is any.
+func (u *update) publish() {
+	if u.changed {
+		u.directory.publish(&u.next)
 	}
-	d.publish(&next)
 }
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -28,9 +28,20 @@
 	// completeEvery is the number of full messages of which one is complete: it also has
 	// what changes rarely, the sender's peers and the speeds of servers.
 	completeEvery = 5
+	// peersPerSecond is the number of peers up to which full messages have that interval.
+	// With more, it grows in proportion, so that the datagrams a second do not: the share
+	// of the load that the message of one peer tells of falls as well.
+	peersPerSecond = 100
 	// peerTimeout is the time without a message after which a peer's load is discarded:
-	// two and a half heartbeat intervals, so that two lost datagrams are tolerated.
+	// two and a half of the shortest heartbeat intervals, so that two lost datagrams are
+	// tolerated. It grows with the interval.
 	peerTimeout = 2500 * time.Millisecond
+	// maxMembers is the number of peers that a regular complete message lists. An entry
+	// that has just started gets the list of all.
+	maxMembers = 8
+	// maxMembersToNew is the number of peers that the message to a new peer lists at most;
+	// their addresses take less than half of a datagram.
+	maxMembersToNew = 180
 	// peerRemovalTimeout is the time without a message after which a peer is removed
 	// and gets no more messages.
 	peerRemovalTimeout = 30 * time.Second
@@ -240,7 +251,7 @@
 		n = assumedEntries
 	}
 	for _, p := range x.peers {
-		if p.alive(now) {
+		if p.alive(now, x.timeoutLocked()) {
 			n++
 		}
 	}
@@ -258,7 +269,7 @@
 	var out []string
 	now := time.Now()
 	for addr, p := range x.peers {
-		if p.alive(now) {
+		if p.alive(now, x.timeoutLocked()) {
 			out = append(out, addr)
 		}
 	}
@@ -270,7 +281,7 @@
 // leaves.
 func (x *Exchange) Run(ctx context.Context) {
 	go x.receive(ctx)
-	full := time.NewTicker(fullInterval)
+	full := time.NewTimer(fullInterval)
 	defer full.Stop()
 	x.sendFull(false)
 	for {
@@ -282,6 +293,7 @@
 		case <-full.C:
 			x.expire(time.Now())
 			x.sendFull(false)
+			full.Reset(x.fullInterval())
 		case <-x.flush:
 			time.Sleep(batchDelay)
 			x.sendToNewPeers()
@@ -293,7 +305,11 @@
 // sendFull sends a full message to all peers and seeds.
 func (x *Exchange) sendFull(leaving bool) {
 	x.mu.Lock()
-	m := x.fullLocked(time.Now(), x.fulls%completeEvery == 0)
+	complete, members := x.fulls%completeEvery == 0, 0
+	if complete {
+		members = maxMembers
+	}
+	m := x.fullLocked(time.Now(), complete, members)
 	x.fulls++
 	m.Leaving = leaving
 	to := map[string]bool{}
@@ -320,19 +336,19 @@
 		x.mu.Unlock()
 		return
 	}
-	m := x.fullLocked(time.Now(), true)
+	m := x.fullLocked(time.Now(), true, maxMembersToNew)
 	x.mu.Unlock()
 	x.send(m, to)
 }
 
-// fullLocked returns a full message, complete or not, and removes the uses that have
-// ended.
-func (x *Exchange) fullLocked(now time.Time, complete bool) *message {
+// fullLocked returns a full message, complete or not, that lists up to a number of peers.
+// It removes the uses that have ended.
+func (x *Exchange) fullLocked(now time.Time, complete bool, members int) *message {
 	x.seq++
 	m := &message{Incarnation: x.incarnation, Seq: x.seq, Full: true, Uses: map[string]Usage{}}
 	m.RegistryEra, m.RegistryRevision = x.registry.Era, x.registry.Revision
 	for addr, p := range x.peers {
-		if complete && p.alive(now) {
+		if len(m.Members) < members && p.alive(now, x.timeoutLocked()) {
 			m.Members = append(m.Members, addr)
 		}
 	}
@@ -375,7 +391,7 @@
 	x.dirty, x.dirtyWaits, x.dirtySpeeds = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	to := map[string]bool{}
 	for addr, p := range x.peers {
-		if p.alive(now) {
+		if p.alive(now, x.timeoutLocked()) {
 			to[addr] = true
 		}
 	}
@@ -411,6 +427,21 @@
 	}
 }
 
+// fullInterval returns the interval of this entry's full messages.
+func (x *Exchange) fullInterval() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.scaledLocked(fullInterval)
+}
+
+// timeoutLocked returns the time without a message after which a peer's load is discarded.
+func (x *Exchange) timeoutLocked() time.Duration { return x.scaledLocked(peerTimeout) }
+
+// scaledLocked returns an interval or a timeout for the present number of peers.
+func (x *Exchange) scaledLocked(d time.Duration) time.Duration {
+	return d * time.Duration(max(peersPerSecond, len(x.peers))) / peersPerSecond
+}
+
 func (x *Exchange) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -441,12 +472,12 @@
 		p = newPeer(m.Incarnation)
 		x.peers[from] = p
 	}
-	if ok && p.fromOldIncarnation(m, now) {
+	if ok && p.fromOldIncarnation(m, now, x.timeoutLocked()) {
 		x.mu.Unlock()
 		return
 	}
-	known := ok && p.incarnation == m.Incarnation && p.alive(now)
-	changed := p.apply(m, now)
+	known := ok && p.incarnation == m.Incarnation && p.alive(now, x.timeoutLocked())
+	changed := p.apply(m, now, x.timeoutLocked())
 	waitsChanged := p.applyWaits(m, now)
 	for pool := range m.Waits {
 		x.remotePools[pool] = true
@@ -460,7 +491,7 @@
 	for _, addr := range m.Members {
 		if _, ok := x.peers[addr]; !ok && addr != x.options.Self {
 			x.peers[addr] = newPeer(0)
-			x.peers[addr].lastReceived = now.Add(-peerTimeout)
+			x.peers[addr].lastReceived = now.Add(-x.timeoutLocked())
 			x.newPeers[addr] = true
 		}
 	}
@@ -537,9 +568,10 @@
 func (x *Exchange) expire(now time.Time) {
 	var changed []string
 	x.mu.Lock()
+	timeout := x.timeoutLocked()
 	for addr, p := range x.peers {
 		idle := now.Sub(p.lastReceived)
-		if idle > peerTimeout && len(p.uses)+len(p.waits) > 0 {
+		if idle > timeout && len(p.uses)+len(p.waits) > 0 {
 			_ = level.Info(x.log).Log("msg", "peer lost", "peer", addr, "silent_ms", idle.Milliseconds())
 			for server := range p.uses {
 				changed = append(changed, server)
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -174,14 +174,16 @@
 	}
 }
 
-// alive reports whether a message of the peer was received within peerTimeout.
-func (p *peer) alive(now time.Time) bool { return now.Sub(p.lastReceived) < peerTimeout }
+// alive reports whether a message of the peer was received within a time.
+func (p *peer) alive(now time.Time, timeout time.Duration) bool {
+	return now.Sub(p.lastReceived) < timeout
+}
 
 // fromOldIncarnation reports whether a message is from an incarnation before the
 // recorded one. A peer that timed out may have restarted with its clock set back, so
 // any incarnation is accepted from it.
-func (p *peer) fromOldIncarnation(m *message, now time.Time) bool {
-	return m.Incarnation < p.incarnation && p.alive(now)
+func (p *peer) fromOldIncarnation(m *message, now time.Time, timeout time.Duration) bool {
+	return m.Incarnation < p.incarnation && p.alive(now, timeout)
 }
 
 // applyWaits records the waiting requests of a message and reports whether anything
@@ -193,20 +195,20 @@
 			continue
 		}
 		p.waitSeqs[pool] = m.Seq
+		changed = changed || len(waiting)+len(p.waits[pool]) > 0
 		p.waits[pool] = p.waits[pool][:0]
 		for _, w := range waiting {
 			w.Arrived = now.Add(-time.Duration(w.Age) * time.Millisecond)
 			p.waits[pool] = append(p.waits[pool], w)
 		}
-		changed = true
 	}
 	return changed
 }
 
 // apply records a message and returns the servers whose use may have changed. A
 // message that arrives out of order does not change what a later message has set.
-func (p *peer) apply(m *message, now time.Time) []string {
-	if p.fromOldIncarnation(m, now) {
+func (p *peer) apply(m *message, now time.Time, timeout time.Duration) []string {
+	if p.fromOldIncarnation(m, now, timeout) {
 		return nil
 	}
 	var changed []string
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -162,9 +162,16 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	configured := f.synced != nil && f.synced.Config == snap.Config
 	f.synced = snap
+	if !configured {
+		f.setPriors(snap.Config)
+	}
 	for id, s := range snap.Servers {
 		b, ok := f.backends[id]
+		if ok && configured && b.server.Load() == s {
+			continue
+		}
 		if !ok || b.server.Load().Started != s.Started || b.server.Load().Stage != s.Stage {
 			b = f.newBackend(s)
 			f.backends[id] = b
@@ -207,13 +214,24 @@
 	return s
 }
 
+// setPriors sets the assumed speeds of all services with engines.
+func (f *fleet) setPriors(c *directory.Config) {
+	if c == nil {
+		return
+	}
+	for name, svc := range c.Services {
+		if svc.Engine != nil {
+			f.speedsLocked(name).SetPrior(prior(c, svc))
+		}
+	}
+}
+
 // setCapacity sets the capacity of a model server from the configuration.
 func (f *fleet) setCapacity(snap *directory.Snapshot, b *backend, s *directory.Server) {
 	if snap.Config == nil {
 		return
 	}
 	if svc := snap.Config.Services[s.Service]; svc != nil && svc.Engine != nil {
-		f.speedsLocked(s.Service).SetPrior(prior(snap.Config, svc))
 		b.capacity.Store(&capacity{slots: svc.Engine.Slots, tokens: int(memoryShare * float64(svc.Engine.MemoryTokens))})
 	}
 }
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -14,7 +14,7 @@
 	prefillTolerance = 4
 	// projectedShare is the fraction of the decode memory that projected use may take.
 	// The rest is for answers that are longer than predicted.
-	projectedShare = 0.9
+	projectedShare = 0.95
 	// waitWeight is the fraction of the predicted wait for decode memory that counts
 	// towards the time to first token at admission.
 	waitWeight = 0.6
