Only seeds list all peers to those who start; observed speeds in metrics, dump and log

The assigned line has the expected step, the state dump and /debug/vars the speeds, and step_error_percent the error of their prediction.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -140,6 +140,8 @@
 	// at the decode server, and PeakMemory is the projected peak of its memory
 	// including this one; 0 for servers that report their load.
 	LocalRuns, RemoteRuns, PeakMemory int
+	// StepMillis is the expected time between the tokens of the answer in milliseconds.
+	StepMillis float64
 	// TimeToPrefillEnd is the predicted time until the prefill ends and decode memory is
 	// needed, shortened by the caution of the job's goal.
 	TimeToPrefillEnd time.Duration
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -39,8 +39,8 @@
 	// maxMembers is the number of peers that a regular complete message lists. An entry
 	// that has just started gets the list of all.
 	maxMembers = 8
-	// maxMembersToNew is the number of peers that the message to a new peer lists at most;
-	// their addresses take less than half of a datagram.
+	// maxMembersToNew is the number of peers that the message of a seed to a new peer
+	// lists at most; their addresses take less than half of a datagram.
 	maxMembersToNew = 180
 	// peerRemovalTimeout is the time without a message after which a peer is removed
 	// and gets no more messages.
@@ -336,7 +336,11 @@
 		x.mu.Unlock()
 		return
 	}
-	m := x.fullLocked(time.Now(), true, maxMembersToNew)
+	members := maxMembers
+	if slices.Contains(x.seeds, x.options.Self) {
+		members = maxMembersToNew // those who start ask the seeds
+	}
+	m := x.fullLocked(time.Now(), true, members)
 	x.mu.Unlock()
 	x.send(m, to)
 }
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/placement"
+	"github.com/samphirestream/samphirestream/internal/predict"
 )
 
 // Snapshot is the state of a router, for operators.
@@ -20,6 +21,8 @@
 	// Entries is the number of entries, this one included.
 	Entries int
 	Servers []ServerSnapshot
+	// Speeds are those of the services with engines.
+	Speeds map[string]SpeedSnapshot
 }
 
 // ServerSnapshot is the router's state of one server.
@@ -41,7 +44,7 @@
 // Snapshot returns the current state.
 func (r *Router) Snapshot() Snapshot {
 	snap := r.directory.Current()
-	out := Snapshot{ReadAgo: time.Since(snap.ReadAt).Milliseconds(), Waiting: r.dispatch.QueueLength(), Entries: r.entries()}
+	out := Snapshot{ReadAgo: time.Since(snap.ReadAt).Milliseconds(), Waiting: r.dispatch.QueueLength(), Entries: r.entries(), Speeds: r.speeds()}
 	if snap.Config != nil {
 		out.Version = snap.Config.Version
 	}
@@ -63,6 +66,35 @@
 	return out
 }
 
+// SpeedSnapshot is what a router assumes of the engines of a service.
+type SpeedSnapshot struct {
+	// StepMillis is the time between the tokens of an answer that runs alone, in
+	// milliseconds, and StepErrorPercent the mean relative error of that prediction.
+	StepMillis, StepErrorPercent float64
+	// PrefillRate is in tokens a millisecond, and StartMillis the time from the end of a
+	// prefill to the first event.
+	PrefillRate, StartMillis float64
+}
+
+// speeds returns what is assumed of the engines of each service.
+func (r *Router) speeds() map[string]SpeedSnapshot {
+	const percent = 100
+	out := map[string]SpeedSnapshot{}
+	snap := r.directory.Current()
+	if snap.Config == nil {
+		return out
+	}
+	for name, svc := range snap.Config.Services {
+		if svc.Engine == nil {
+			continue
+		}
+		r.updateSpeeds(name, func(s *predict.Speeds) {
+			out[name] = SpeedSnapshot{StepMillis: s.StepMillis(1), StepErrorPercent: percent * s.StepError(), PrefillRate: s.PrefillRate(), StartMillis: s.StartMillis()}
+		})
+	}
+	return out
+}
+
 // publishGauges publishes the router's state as gauges.
 func (r *Router) publishGauges() {
 	set := r.count.set
@@ -74,6 +106,14 @@
 	})
 	set.Gauge("registry_read_ago_ms", func() any { return time.Since(r.directory.Current().ReadAt).Milliseconds() })
 	set.Gauge("entries", func() any { return r.entries() })
+	set.Gauge("speeds", func() any { return r.speeds() })
+	set.Gauge("step_error_percent", func() any {
+		worst := 0.0
+		for _, s := range r.speeds() {
+			worst = max(worst, s.StepErrorPercent)
+		}
+		return worst
+	})
 	set.Gauge("waiting", func() any { return r.dispatch.QueueLength() })
 	for name, counts := range map[string]func(ServerSnapshot) int{
 		"servers":           func(ServerSnapshot) int { return 1 },
