--- a/internal/ctl/docs_test.go
+++ b/internal/ctl/docs_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/samphirestream/samphirestream/internal/emulator"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/settings"
 )
@@ -102,3 +103,15 @@
 		})
 	}
 }
+
+// TestDocumentedExperiment checks that the example of the operators' page is valid.
+func TestDocumentedExperiment(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile(filepath.FromSlash(operations))
+	is.NoErr(err)
+	file := filepath.Join(t.TempDir(), "engine.yaml")
+	is.NoErr(os.WriteFile(file, []byte(example(t, string(raw), "entries")), 0o600))
+	x, err := emulator.LoadExperiment(file)
+	is.NoErr(err)
+	is.Equal(len(x.Load.Bursts), 1)
+}
