--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -36,8 +36,8 @@
 	// two and a half of the shortest heartbeat intervals, so that two lost datagrams are
 	// tolerated. It grows with the interval.
 	peerTimeout = 2500 * time.Millisecond
-	// maxMembers is the number of peers that a regular complete message lists. An entry
-	// that has just started gets the list of all.
+	// maxMembers is the number of peers that a complete message lists, so that peers are
+	// found in the end that have missed each other's first messages.
 	maxMembers = 8
 	// maxMembersToNew is the number of peers that the message of a seed to a new peer
 	// lists at most; their addresses take less than half of a datagram.
@@ -319,7 +319,10 @@
 	for addr := range x.peers {
 		to[addr] = true
 	}
-	x.dirty, x.dirtyWaits, x.dirtySpeeds = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	x.dirty, x.dirtyWaits = map[string]bool{}, map[string]bool{}
+	if complete {
+		x.dirtySpeeds = map[string]bool{}
+	}
 	x.mu.Unlock()
 	delete(to, x.options.Self)
 	x.send(m, to)
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/predict"
 )
 
 // network is an in-memory datagram network.
@@ -419,3 +421,15 @@
 		is.True(len(b) < maxDatagram/2)
 	})
 }
+
+// TestSpeedsSurviveAFullMessage publishes speeds just before a full message without them.
+func TestSpeedsSurviveAFullMessage(t *testing.T) {
+	is := is.New(t)
+	x := New(nil, Options{Self: "self"}, log.NewNopLogger())
+	x.fulls = 1 // the next full message is not complete
+	speeds := predict.NewSpeeds(predict.Prior{})
+	speeds.AddStep(1, 4)
+	x.PublishSpeeds("service", speeds.Local())
+	x.sendFull(false)
+	is.True(x.dirtySpeeds["service"]) // still to be sent
+}
