--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -76,8 +75,6 @@
 	dataCentre = "dc"
 	host       = "model.example"
 	path       = "/generate/"
-	// peerLatency is the network latency between entries.
-	peerLatency = 2 * time.Millisecond
 	// maxQueued is the queue length of an entry.
 	maxQueued = 512
 )
@@ -104,7 +101,7 @@
 // request has ended.
 func (f *Fleet) Run(ctx context.Context) Result {
 	ctx, cancel := context.WithCancel(ctx)
-	network := &network{conns: map[string]*conn{}}
+	network := NewNetwork()
 	var background sync.WaitGroup
 	for i := range f.options.Entries {
 		f.start(ctx, network, i, &background)
@@ -124,7 +121,7 @@
 	}
 	callers.Wait()
 	cancel()
-	network.close()
+	network.Close()
 	background.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -132,7 +129,7 @@
 }
 
 // start starts one entry.
-func (f *Fleet) start(ctx context.Context, n *network, i int, background *sync.WaitGroup) {
+func (f *Fleet) start(ctx context.Context, n *Network, i int, background *sync.WaitGroup) {
 	addr := func(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1) }
 	dir := directory.New()
 	dir.SetConfig(f.config())
@@ -140,7 +137,7 @@
 	f.dirs = append(f.dirs, dir)
 	f.mu.Unlock()
 	var r *router.Router
-	x := loadexchange.New(n.listen(addr(i)), loadexchange.Options{
+	x := loadexchange.New(n.Listen(addr(i)), loadexchange.Options{
 		Self: addr(i), Seeds: []string{addr(0)},
 		OnUsage:   func(server string, others []loadexchange.Usage) { r.SetRemoteUsage(server, others) },
 		OnSpeeds:  func(service string, others []predict.SpeedSums) { r.SetRemoteSpeeds(service, others) },
@@ -266,77 +263,3 @@
 
 // Fail implements router.Answer.
 func (a *answer) Fail(e *apierror.Error) { a.failure = e }
-
-// network delivers datagrams between the entries.
-type network struct {
-	mu    sync.Mutex // guards conns
-	conns map[string]*conn
-}
-
-func (n *network) listen(addr string) *conn {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c := &conn{network: n, addr: addr, in: make(chan datagram, maxDatagramsQueued), closed: make(chan struct{})}
-	n.conns[addr] = c
-	return c
-}
-
-func (n *network) close() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range n.conns {
-		c.closeOnce.Do(func() { close(c.closed) })
-	}
-}
-
-// maxDatagramsQueued is the length of the receive queue of an entry.
-const maxDatagramsQueued = 1024
-
-type datagram struct {
-	from    string
-	payload []byte
-}
-
-// conn implements loadexchange.Conn.
-type conn struct {
-	network   *network
-	addr      string
-	in        chan datagram
-	closed    chan struct{}
-	closeOnce sync.Once
-}
-
-// ReadFrom implements loadexchange.Conn.
-func (c *conn) ReadFrom(p []byte) (int, net.Addr, error) {
-	select {
-	case d := <-c.in:
-		from, err := net.ResolveUDPAddr("udp", d.from)
-		return copy(p, d.payload), from, err
-	case <-c.closed:
-		return 0, nil, net.ErrClosed
-	}
-}
-
-// WriteTo implements loadexchange.Conn. A datagram for a full queue is lost.
-func (c *conn) WriteTo(p []byte, to net.Addr) (int, error) {
-	c.network.mu.Lock()
-	peer := c.network.conns[to.String()]
-	c.network.mu.Unlock()
-	if peer == nil {
-		return len(p), nil
-	}
-	d := datagram{from: c.addr, payload: append([]byte(nil), p...)}
-	time.AfterFunc(peerLatency, func() {
-		select {
-		case peer.in <- d:
-		default:
-		}
-	})
-	return len(p), nil
-}
-
-// Close implements loadexchange.Conn.
-func (c *conn) Close() error {
-	c.closeOnce.Do(func() { close(c.closed) })
-	return nil
-}
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -226,7 +226,15 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{servers: newFakeServers(), directory: directory.New()}
+	f := &fleet{servers: newFakeServers(), directory: newDirectory()}
+	f.Router = router.New(f.directory, f.servers, testOptions, log.NewNopLogger())
+	return f
+}
+
+// newDirectory returns a directory with three plain servers, two for prefills and three for
+// decodes.
+func newDirectory() *directory.Directory {
+	d := directory.New()
 	route := func(prefix string, k directory.Kind, service string, attempts int, resumable bool) directory.Route {
 		return directory.Route{
 			Name: prefix, Host: "h", Prefix: prefix, Kind: k, Timeout: timeout, LatencyTarget: target, GapTarget: gap,
@@ -236,7 +244,7 @@
 	stream := route("/stream/", directory.Streaming, "llm", 1, false)
 	resumable := route("/resumable/", directory.Streaming, "llm", 2, true)
 	stream.Timeout, resumable.Timeout = 14*time.Second, 14*time.Second
-	f.directory.SetConfig(&directory.Config{
+	d.SetConfig(&directory.Config{
 		Version: 1,
 		Routes: []directory.Route{
 			route("/safe/", directory.Idempotent, "app", 2, false), route("/once/", directory.AtMostOnce, "app", 1, false), stream, resumable,
@@ -246,17 +254,16 @@
 			"llm": {Name: "llm", Engine: &directory.Engine{Slots: 12, MemoryTokens: 65_000, HandleTTL: 500 * time.Millisecond, EventTokens: 72, StageChangeTime: 6 * time.Second}},
 		},
 	})
-	for _, id := range []string{"a1", "a2", "a3"} {
-		f.directory.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc"})
+	for _, id := range plainServers {
+		d.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc"})
 	}
-	for _, id := range []string{"p1", "p2"} {
-		f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+	for _, id := range prefillServers {
+		d.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
 	}
-	for _, id := range []string{"d1", "d2", "d3"} {
-		f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Decode})
+	for _, id := range decodeServers {
+		d.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Decode})
 	}
-	f.Router = router.New(f.directory, f.servers, testOptions, log.NewNopLogger())
-	return f
+	return d
 }
 
 var requests atomic.Int64
@@ -266,12 +273,19 @@
 
 // call sends one request and waits for its answer.
 func (f *fleet) call(ctx context.Context, path string) *recordedAnswer {
-	c := &router.Call{
+	return serve(ctx, f.Router, newCall(path))
+}
+
+func newCall(path string) *router.Call {
+	return &router.Call{
 		ID: fmt.Sprint("r", requests.Add(1)), Method: "POST", Target: path, Host: "h", Path: path, Header: http.Header{},
 		Arrived: time.Now(), Deadline: time.Now().Add(14 * time.Second), PromptTokens: 5000, MaxTokens: 9000, ExpectedTokens: 5000,
 	}
+}
+
+func serve(ctx context.Context, r *router.Router, c *router.Call) *recordedAnswer {
 	a := &recordedAnswer{}
-	f.Serve(ctx, c, a)
+	r.Serve(ctx, c, a)
 	return a
 }
 
--- /dev/null
+++ b/internal/router/region_test.go
@@ -0,0 +1,119 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samphirestream/samphirestream/internal/advisory"
+	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/emulator"
+	"github.com/samphirestream/samphirestream/internal/loadexchange"
+	"github.com/samphirestream/samphirestream/internal/predict"
+	"github.com/samphirestream/samphirestream/internal/router"
+)
+
+// region is several entries before the same servers.
+type region struct {
+	servers     *fakeServers
+	entries     []*router.Router
+	directories []*directory.Directory
+	// observe, if not nil, sees each request that arrives at a server, and returns what its
+	// answer says of the server.
+	observe func(entry int, server string) advisory.Notice
+}
+
+// withRegion runs a test in virtual time with entries that know each other.
+func withRegion(t *testing.T, entries int, test func(t *testing.T, g *region)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := &region{servers: newFakeServers()}
+		ctx, cancel := context.WithCancel(context.Background())
+		network := emulator.NewNetwork()
+		var background sync.WaitGroup
+		addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+		for i := range entries {
+			d := newDirectory()
+			var r *router.Router
+			x := loadexchange.New(network.Listen(addr(i)), loadexchange.Options{
+				Self: addr(i), Seeds: []string{addr(0)},
+				OnUsage:   func(server string, others []loadexchange.Usage) { r.SetRemoteUsage(server, others) },
+				OnSpeeds:  func(service string, others []predict.SpeedSums) { r.SetRemoteSpeeds(service, others) },
+				OnWaiting: func(pool string, waiting []loadexchange.Waiting) { r.SetRemoteWaiting(pool, waiting) },
+			}, nopLogger)
+			o := testOptions
+			o.Peers = x
+			r = router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
+			g.entries, g.directories = append(g.entries, r), append(g.directories, d)
+			background.Go(func() { x.Run(ctx) })
+		}
+		defer func() {
+			cancel()
+			network.Close()
+			background.Wait()
+			time.Sleep(20 * time.Second) // requests and probes of the test end
+		}()
+		time.Sleep(5 * time.Second) // the entries find each other
+		test(t, g)
+	})
+}
+
+// load sends requests to random entries at a steady rate, and returns their answers.
+func (g *region) load(path string, perSecond float64, d time.Duration) []*recordedAnswer {
+	var all sync.WaitGroup
+	answers := make([]*recordedAnswer, int(perSecond*d.Seconds()))
+	for i := range answers {
+		time.Sleep(time.Duration(float64(time.Second) / perSecond))
+		entry := g.entries[i*i%len(g.entries)] // uneven: some entries get more
+		all.Go(func() { answers[i] = serve(context.Background(), entry, newCall(path)) })
+	}
+	all.Wait()
+	return answers
+}
+
+// served returns the number of answers with status 200.
+func served(answers []*recordedAnswer) int {
+	return len(answers) - len(slices.DeleteFunc(slices.Clone(answers), func(a *recordedAnswer) bool { return a.status == 200 }))
+}
+
+// entryServers are the servers as one entry of a region reaches them.
+type entryServers struct {
+	*fakeServers
+	region *region
+	entry  int
+}
+
+// answered passes on what an answer says of its server.
+func (s *entryServers) answered(at *directory.Server) func() {
+	if s.region.observe == nil {
+		return func() {}
+	}
+	n := s.region.observe(s.entry, at.ID)
+	n.ToRequest, n.Sent = true, time.Now()
+	return func() {
+		n.Received = time.Now()
+		s.region.entries[s.entry].Observe(at, n)
+	}
+}
+
+func (s *entryServers) Call(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+	answered := s.answered(o.Server)
+	reply, err := s.fakeServers.Call(ctx, o)
+	if err == nil {
+		answered()
+	}
+	return reply, err
+}
+
+func (s *entryServers) Prefill(ctx context.Context, o *router.OutgoingCall) (*router.Handle, *router.Reply, error) {
+	answered := s.answered(o.Server)
+	h, reply, err := s.fakeServers.Prefill(ctx, o)
+	if err == nil {
+		answered()
+	}
+	return h, reply, err
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -22,8 +22,9 @@
 }
 
 var (
-	plainServers  = []string{"a1", "a2", "a3"}
-	decodeServers = []string{"d1", "d2", "d3"}
+	plainServers   = []string{"a1", "a2", "a3"}
+	prefillServers = []string{"p1", "p2"}
+	decodeServers  = []string{"d1", "d2", "d3"}
 )
 
 func TestNoConfigurationIsNotNotFound(t *testing.T) {
