Entries together keep to the limits that servers name (LIMIT)

What callers and servers saw: a server in need that named a limit of 3.3 requests a second got 67 in 4 s, at the rate of before it named it.

Cause: nothing read what a server says of itself in its answers. The class of fault: a choice among servers that knows only the entry's own observations, while the server speaks for all of its callers. Counting by each entry alone would not do either, since the limit is that of all entries together.

Change: each server's limit is divided among the entries that serve callers. The order of the entries differs from server to server (rendezvous hashing), so that no one divides it; only as many send as may send once in a second, so that what all of them save up in a quiet time stays within the limit's slack. Each counts its share in a token bucket. Every request that a caller causes takes a token before it is sent, at the one place where the dispatcher assigns servers, and at the one where a plain call is sent; servers without a token are left out like full ones. What an answer says of a limit is passed on to the other entries with its age, also that it names none any longer. A boot's limit ends with the boot.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -34,6 +34,8 @@
 	// Sent is the time at which the answered request was sent, and Received that at which
 	// the answer arrived.
 	Sent, Received time.Time
+	// FromPeer is set if another entry got the answer.
+	FromPeer bool
 }
 
 // Advice is what a server has said of itself until now.
@@ -44,10 +46,15 @@
 	// ClosedUntil is the time until which the server wants nothing from this process.
 	ClosedUntil time.Time
 	// Limited is set while the server names a limit, and Limit is that in requests a
-	// second. It was first named at LimitSince and last at LimitHeard.
-	Limited                bool
-	Limit                  float64
-	LimitSince, LimitHeard time.Time
+	// second. It was first named at LimitSince.
+	Limited    bool
+	Limit      float64
+	LimitSince time.Time
+	// LimitHeard is the time of the newest answer that decided whether there is a limit, and
+	// LimitAsked that at which its request was sent. LimitFromPeer is set if another entry
+	// got it.
+	LimitHeard, LimitAsked time.Time
+	LimitFromPeer          bool
 }
 
 // Leaving reports whether the server leaves.
@@ -63,23 +70,27 @@
 	if n.RetryAfter > 0 {
 		a.ClosedUntil = n.Received.Add(n.RetryAfter)
 	}
-	newer := n.Sent.After(a.LimitHeard)
-	switch {
+	switch newer := n.Sent.After(a.LimitHeard); {
 	case n.Limit != nil && (!a.Limited || newer || *n.Limit <= a.Limit):
 		if !a.Limited {
 			a.LimitSince = n.Received
 		}
-		a.Limited, a.Limit, a.LimitHeard = true, *n.Limit, n.Received
-	case n.Limit == nil && n.ToRequest && newer:
+		a.Limited, a.Limit = true, *n.Limit
+	case n.Limit == nil && n.ToRequest && newer && a.Limited:
 		a.Limited, a.Limit = false, 0
+	default:
+		return a
 	}
+	a.LimitHeard, a.LimitAsked, a.LimitFromPeer = n.Received, n.Sent, n.FromPeer
 	return a
 }
 
 // State is what one boot of a server has said of itself. It is safe for concurrent use.
 type State struct {
 	advice atomic.Pointer[Advice]
-	mu     sync.Mutex // held by writers
+
+	mu     sync.Mutex // held by writers of advice; guards bucket
+	bucket bucket     // of the limit
 }
 
 // Advice returns what the server has said until now.
@@ -99,6 +110,9 @@
 	if after != before {
 		s.advice.Store(&after)
 	}
+	if after.Limited && !before.Limited {
+		s.bucket = bucket{filled: n.Received}
+	}
 	return before, after
 }
 
--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -58,3 +58,35 @@
 		is.True(len(table.states) < 3) // a boot that is long gone is forgotten
 	})
 }
+
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	for _, l := range []float64{0.3, 1, 3.3, 7.8, 40, 1e12} {
+		for _, entries := range []int{1, 2, 5, 33, 330} {
+			is := is.New(t)
+			sum, senders := 0.0, 0
+			for rank := range entries {
+				if s := EntryShare(l, rank, entries); s > 0 {
+					sum += s
+					senders++
+				}
+			}
+			is.True(sum <= l*1.0001 && sum >= l*0.9999)
+			is.True(senders == 1 || sum/float64(senders) >= 0.5/senderTime.Seconds()) // none waits long for its turn
+		}
+	}
+	is.New(t).Equal(EntryShare(0, 0, 5), minRate) // an end of the limit is heard of
+}
+
+func TestQuietTimeSavesUpLittle(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	s.Record(notice(0, 1, limit(2)))
+	whole := func(l float64) float64 { return EntryShare(l, 0, 1) }
+	is.True(!s.Take(start.Add(time.Second), whole)) // starts empty
+	now := start.Add(time.Hour)
+	is.True(s.Admits(now, whole))
+	is.True(s.Take(now, whole))
+	is.True(!s.Take(now, whole))
+	is.True(!s.Take(now.Add(499*time.Millisecond), whole))
+	is.True(s.Take(now.Add(501*time.Millisecond), whole))
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,9 @@
 type Fleet[S Server] interface {
 	PrefillServers(model string, out []S) []S
 	DecodeServers(model string, out []S) []S
+	// Assigned is called when a job is assigned to a server, before another one is. It may
+	// set Unavailable in the view of the server.
+	Assigned(s S)
 }
 
 // Options configure a dispatcher.
@@ -399,7 +402,7 @@
 	}
 	s = p.prefills[c.Index]
 	maxWait = time.Duration(s.View().WaitMillis(d.Now())*float64(time.Millisecond)) + placement.WaitTolerance
-	s.View().RecordSend(d.Now(), u.Prefill)
+	d.recordSend(s, u.Prefill)
 	return s, maxWait, true
 }
 
@@ -415,10 +418,16 @@
 	}
 	s = p.decodes[c.Index]
 	from.View().RecordEnd(d.Now(), u.Decode)
-	s.View().RecordSend(d.Now(), u.Decode)
+	d.recordSend(s, u.Decode)
 	return s, true
 }
 
+// recordSend counts a job at a server that it is assigned to.
+func (d *Dispatcher[S]) recordSend(s S, u placement.Use) {
+	s.View().RecordSend(d.Now(), u)
+	d.fleet.Assigned(s)
+}
+
 // Job describes a request for admission and placement.
 type Job struct {
 	Model    string
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -91,6 +91,8 @@
 
 func (e *entry) DecodeServers(_ string, out []*server) []*server { return append(out, e.decodes...) }
 
+func (*entry) Assigned(*server) {}
+
 // simFleet is a set of entries that share engines, with counts of outcomes.
 type simFleet struct {
 	entries []*entry
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -327,8 +327,8 @@
 	a.Use.Decode.Run.Began = now + w.need.ForecastHorizon
 	a.LocalRuns, a.RemoteRuns, a.PeakMemory = a.Decode.View().ProjectionSummary(now, a.Use.Decode.Run)
 	a.StepMillis = a.Decode.View().StepMillis()
-	a.Decode.View().RecordSend(now, w.use.Decode)
-	a.Prefill.View().RecordSend(now, w.use.Prefill)
+	p.d.recordSend(a.Decode, w.use.Decode)
+	p.d.recordSend(a.Prefill, w.use.Prefill)
 	p.removeWaiting(w)
 	w.result <- a
 }
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -45,6 +45,9 @@
 	return f.pool(release.RoleDecode, model, out)
 }
 
+// Assigned implements dispatch.Fleet.
+func (agentFleet) Assigned(*agentConn) {}
+
 // pool appends the connected servers of a role and model to out. It updates
 // Unavailable in the view of each.
 func (f agentFleet) pool(role release.Role, model string, out []*agentConn) []*agentConn {
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"net"
 	"slices"
 	"sync"
@@ -262,6 +263,40 @@
 	return x.maxEntries
 }
 
+// activeTime is the time after a message that told of a use for which a peer counts as
+// one that serves callers.
+const activeTime = 5 * time.Second
+
+// Rank returns the position of this entry among those that serve callers, in an order that
+// differs from key to key and that all entries share (rendezvous hashing: Thaler and
+// Ravishankar, 1998), and their number. This entry is taken to be one of them.
+func (x *Exchange) Rank(key string) (rank, entries int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	entries = 1
+	if now.Sub(x.started) < discoveryTime {
+		entries = assumedEntries
+	}
+	own := rendezvousWeight(key, x.options.Self)
+	for addr, p := range x.peers {
+		if !p.alive(now, x.timeoutLocked()) || now.Sub(p.lastActive) >= activeTime {
+			continue
+		}
+		entries++
+		if rendezvousWeight(key, addr) > own {
+			rank++
+		}
+	}
+	return rank, entries
+}
+
+func rendezvousWeight(key, addr string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key + " " + addr)) // never fails
+	return h.Sum64()
+}
+
 // Peers returns the sorted addresses of the peers that are alive.
 func (x *Exchange) Peers() []string {
 	x.mu.Lock()
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -433,3 +433,44 @@
 	x.sendFull(false)
 	is.True(x.dirtySpeeds["service"]) // still to be sent
 }
+
+func TestEntriesAgreeOnTheirRanks(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		for i := range m {
+			m[i].PublishUsage("s", Usage{Calls: 1}, true)
+		}
+		time.Sleep(time.Second)
+		for _, key := range []string{"s1", "s2", "s3"} {
+			seen := map[int]bool{}
+			for i := range m {
+				rank, entries := m[i].Rank(key)
+				is.Equal(entries, 3)
+				seen[rank] = true
+			}
+			is.Equal(len(seen), 3)
+		}
+		m[1].PublishUsage("s", Usage{}, true)
+		time.Sleep(2 * activeTime) // it serves no callers
+		_, entries := m[0].Rank("s1")
+		is.Equal(entries, 2)
+	})
+}
+
+func TestLimitsAreSentWithTheirAges(t *testing.T) {
+	is := is.New(t)
+	sent, now := time.Now(), time.Now().Add(time.Minute)
+	five := 5.0
+	u := Usage{Started: 7, Limit: &Limit{PerSecond: &five, Asked: sent.Add(-2 * time.Second), Heard: sent.Add(-time.Second)}}
+	b, err := encode(&message{Uses: map[string]Usage{"s": u.withAges(sent)}})
+	is.NoErr(err)
+	m, err := decode(b)
+	is.NoErr(err)
+	got := m.Uses["s"].withTimes(now)
+	is.Equal(got.Started, int64(7))
+	is.Equal(*got.Limit.PerSecond, five)
+	is.True(got.Limit.Asked.Equal(now.Add(-2 * time.Second)))
+	is.True(got.Limit.Heard.Equal(now.Add(-time.Second)))
+	is.True(!u.empty())
+	is.True(u.withAges(sent.Add(limitTTL)).empty())
+}
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -33,9 +33,11 @@
 	ReplacedUntil time.Time `cbor:"-"`
 	// ReplacedLeft is the remainder of that time in milliseconds, in messages only.
 	ReplacedLeft int64 `cbor:"7,keyasint,omitempty"`
-	// Started is the start, in Unix milliseconds, of the server that was replaced: a
-	// later one under the same ID is not meant.
+	// Started is the start, in Unix milliseconds, of the server that was replaced or that
+	// said something of itself: a later one under the same ID is not meant.
 	Started int64 `cbor:"8,keyasint,omitempty"`
+	// Limit is what the newest answer to the entry said of a limit; nil if none did lately.
+	Limit *Limit `cbor:"9,keyasint,omitempty"`
 	// BrokenCallTimes are the times of the calls within BrokenCallWindow that the
 	// server accepted and whose connection it closed without an answer.
 	BrokenCallTimes []time.Time `cbor:"-"`
@@ -44,6 +46,22 @@
 	BrokenCallAges []int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Limit is what an answer of a server said of the requests that it takes.
+type Limit struct {
+	// PerSecond is the limit in requests a second; nil if the answer named none.
+	PerSecond *float64 `cbor:"1,keyasint,omitempty"`
+	// Asked is the time at which the answered request was sent, and Heard that of the answer.
+	Asked time.Time `cbor:"-"`
+	Heard time.Time `cbor:"-"`
+	// AskedAge and HeardAge are the times since then in milliseconds, in messages only.
+	AskedAge int64 `cbor:"2,keyasint"`
+	HeardAge int64 `cbor:"3,keyasint"`
+}
+
+// limitTTL is the time for which messages hold what an answer said of a limit. Later it
+// has reached all entries, and those that start hear it from the server.
+const limitTTL = 30 * time.Second
+
 // Run is one request at a decode server.
 type Run struct {
 	// Prompt is the length of the prompt in tokens.
@@ -78,7 +96,17 @@
 		u.StageChangeLeft = max(0, u.StageChangeUntil.Sub(now).Milliseconds())
 	}
 	if u.ReplacedLeft = u.ReplacedUntil.Sub(now).Milliseconds(); u.ReplacedLeft <= 0 {
-		u.ReplacedUntil, u.ReplacedLeft, u.Started = time.Time{}, 0, 0
+		u.ReplacedUntil, u.ReplacedLeft = time.Time{}, 0
+	}
+	if u.Limit != nil {
+		l := *u.Limit
+		l.AskedAge, l.HeardAge = now.Sub(l.Asked).Milliseconds(), now.Sub(l.Heard).Milliseconds()
+		if u.Limit = &l; now.Sub(l.Heard) > limitTTL {
+			u.Limit = nil
+		}
+	}
+	if u.ReplacedUntil.IsZero() && u.Limit == nil {
+		u.Started = 0
 	}
 	return u
 }
@@ -96,6 +124,10 @@
 	if u.StageChangeLeft > 0 {
 		u.StageChangeUntil = now.Add(time.Duration(u.StageChangeLeft) * time.Millisecond)
 	}
+	if u.Limit != nil {
+		u.Limit.Asked = now.Add(-time.Duration(u.Limit.AskedAge) * time.Millisecond)
+		u.Limit.Heard = now.Add(-time.Duration(u.Limit.HeardAge) * time.Millisecond)
+	}
 	if u.ReplacedLeft > 0 {
 		u.ReplacedUntil = now.Add(time.Duration(u.ReplacedLeft) * time.Millisecond)
 	}
@@ -103,7 +135,7 @@
 }
 
 func (u Usage) empty() bool {
-	return u.ReplacedUntil.IsZero() && u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
+	return u.ReplacedUntil.IsZero() && u.Limit == nil && u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
 }
 
 // Waiting is a request that waits for a server.
@@ -156,6 +188,7 @@
 	incarnation  int64
 	seq          uint64
 	lastReceived time.Time
+	lastActive   time.Time // when a message last told of a use
 	uses         map[string]Usage
 	// waits are the waiting requests, by pool, and waitSeqs the sequence numbers of the
 	// messages that last set them.
@@ -219,6 +252,9 @@
 		*p = *newPeer(m.Incarnation)
 	}
 	p.lastReceived = now
+	if len(m.Uses) > 0 {
+		p.lastActive = now
+	}
 	p.seq = max(p.seq, m.Seq)
 	for s, u := range m.Uses {
 		if p.seqs[s] < m.Seq {
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -126,6 +126,7 @@
 type fleet struct {
 	directory  *directory.Directory
 	dataCentre string
+	peers      Peers // nil for a single entry
 
 	mu       sync.RWMutex // guards the fields below, but not the content of speeds
 	backends map[string]*backend
@@ -137,8 +138,8 @@
 	synced *directory.Snapshot // of the last sync
 }
 
-func newFleet(d *directory.Directory, dataCentre string) *fleet {
-	return &fleet{directory: d, dataCentre: dataCentre, backends: map[string]*backend{}, advice: advisory.NewTable(), speeds: map[string]*predict.Speeds{}}
+func newFleet(d *directory.Directory, dataCentre string, peers Peers) *fleet {
+	return &fleet{directory: d, dataCentre: dataCentre, peers: peers, backends: map[string]*backend{}, advice: advisory.NewTable(), speeds: map[string]*predict.Speeds{}}
 }
 
 // memoryShare is the fraction of an engine's memory that is planned with. The rest
@@ -254,8 +255,9 @@
 	return f.stage(service, directory.Decode, out)
 }
 
-// stage appends the servers of one stage to out. Servers that are paused for broken
-// calls are marked down, unless then none would take work.
+// stage appends the servers of one stage to out. Those that take no work are marked
+// unavailable. Servers that are paused for broken calls are too, unless then none would
+// take work.
 func (f *fleet) stage(service string, stage directory.Stage, out []*backend) []*backend {
 	f.sync()
 	now := time.Now()
@@ -270,7 +272,7 @@
 		if limits := b.capacity.Load(); limits != nil {
 			b.view.SetCounted(limits.slots, limits.tokens)
 		}
-		b.view.Unavailable = !b.acceptsWork(now) || b.broken.paused(now)
+		b.view.Unavailable = !f.takesWork(b, now) || b.broken.paused(now)
 		if !b.view.Unavailable {
 			up++
 		}
@@ -278,14 +280,19 @@
 	}
 	if up == 0 {
 		for _, b := range out[first:] {
-			b.view.Unavailable = !b.acceptsWork(now)
+			b.view.Unavailable = !f.takesWork(b, now)
 		}
 	}
 	return out
 }
 
-// plain returns the usable servers of a plain service that are neither draining nor
-// tried; when none is usable, all that are neither draining nor tried.
+// takesWork reports whether a model server takes a request of this entry now.
+func (f *fleet) takesWork(b *backend, now time.Time) bool {
+	return b.acceptsWork(now) && f.admits(b, now)
+}
+
+// plain returns the usable servers of a plain service that take a request now and are not
+// tried; when none is usable, all that take one and are not tried.
 func (f *fleet) plain(service string, tried map[string]bool) []*backend {
 	f.sync()
 	f.mu.RLock()
@@ -294,7 +301,7 @@
 	now := time.Now()
 	for _, s := range f.synced.Services[service] {
 		b := f.backends[s.ID]
-		if b == nil || s.Draining || tried[s.ID] {
+		if b == nil || s.Draining || tried[s.ID] || !f.admits(b, now) {
 			continue
 		}
 		if b.usable(now) {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
@@ -22,6 +23,9 @@
 	PublishSpeeds(service string, s predict.SpeedSums)
 	// Entries returns the number of entries, this one included.
 	Entries() int
+	// Rank returns the position of this entry among all in an order that depends on key,
+	// and the number of entries.
+	Rank(key string) (rank, entries int)
 }
 
 // entries returns the number of entries, this one included.
@@ -103,6 +107,9 @@
 		if !o.ReplacedUntil.IsZero() && o.Started == b.server.Load().Started {
 			b.replacedRemotely.Store(max(b.replacedRemotely.Load(), o.ReplacedUntil.UnixNano()))
 		}
+		if o.Limit != nil && o.Started == b.server.Load().Started {
+			r.record(b.server.Load(), advisory.Notice{Limit: o.Limit.PerSecond, ToRequest: true, Sent: o.Limit.Asked, Received: o.Limit.Heard, FromPeer: true})
+		}
 		u.Tokens += o.PrefillTokens
 		u.Slots += len(o.Runs)
 		for _, run := range o.Runs {
@@ -163,6 +170,12 @@
 	if until := b.replacedUntil.Load(); until > time.Now().UnixNano() {
 		out.ReplacedUntil, out.Started = time.Unix(0, until), b.server.Load().Started
 	}
+	if a := b.advice.Advice(); !a.LimitHeard.IsZero() && !a.LimitFromPeer {
+		out.Limit, out.Started = &loadexchange.Limit{Asked: a.LimitAsked, Heard: a.LimitHeard}, b.server.Load().Started
+		if a.Limited {
+			out.Limit.PerSecond = &a.Limit
+		}
+	}
 	if b.orderedLocally.Load() {
 		out.StageChangeUntil = time.Unix(0, b.stageChangeUntil.Load())
 	}
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -49,6 +49,7 @@
 func (*recordingPeers) PublishWaiting(string, []loadexchange.Waiting) {}
 func (*recordingPeers) PublishSpeeds(string, predict.SpeedSums)       {}
 func (*recordingPeers) Entries() int                                  { return 1 }
+func (*recordingPeers) Rank(string) (rank, entries int)               { return 0, 1 }
 
 // withPeers runs a test with a fleet that publishes to recording peers.
 func withPeers(t *testing.T, test func(t *testing.T, f *fleet, p *recordingPeers)) {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -41,7 +41,7 @@
 	for refusals := 0; ; {
 		b := x.pickPlain()
 		if b == nil {
-			x.finishUnanswered(ctx, failed, apierror.NotRun(apierror.KindUnavailable, "no server of "+x.service+" is available", "retry after the delay").WithRetryAfter(unavailableRetry))
+			x.finishUnanswered(ctx, failed, x.noServer())
 			return
 		}
 		if x.attempts == 0 && x.router.overloaded(b, x.route.LatencyTarget) {
@@ -49,6 +49,9 @@
 			x.fail(apierror.NotRun(apierror.KindOverloaded, "all servers of "+x.service+" have a backlog beyond the target", "retry after the delay").WithRetryAfter(sleep.Jitter(overloadedRetry)))
 			return
 		}
+		if !x.router.fleet.take(b, time.Now()) {
+			continue // another call took the last request that the server takes now
+		}
 		out := x.tryPlain(ctx, b)
 		switch {
 		case out.answered:
@@ -72,6 +75,14 @@
 	}
 }
 
+// noServer returns the refusal of a call that no server takes now.
+func (x *exchange) noServer() *apierror.Error {
+	if x.router.fleet.withheld(x.service) {
+		return apierror.NotRun(apierror.KindOverloaded, "the servers of "+x.service+" take no more requests now", "retry after the delay").WithRetryAfter(sleep.Jitter(overloadedRetry))
+	}
+	return apierror.NotRun(apierror.KindUnavailable, "no server of "+x.service+" is available", "retry after the delay").WithRetryAfter(unavailableRetry)
+}
+
 // finishUnanswered ends a call without a successful answer: with the server's own
 // error response if there is one, with an unknown outcome when a server may have run
 // the call, and otherwise with the refusal.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,7 +70,7 @@
 func New(d *directory.Directory, servers Servers, o Options, logger log.Logger) *Router {
 	r := &Router{
 		options: o, directory: d, servers: servers, log: logger,
-		fleet: newFleet(d, o.DataCentre), budgets: map[string]*retry.Budget{}, maxWaits: map[string]time.Duration{}, count: newCounters(),
+		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, maxWaits: map[string]time.Duration{}, count: newCounters(),
 	}
 	r.dispatch = dispatch.New(r.fleet, dispatch.Options{
 		MaxQueued: o.MaxQueued, NewPlanner: func(service string) *placement.Planner { return newPlanner(r.fleet.speedsOf(service)) }, Policy: newPolicy(), Order: schedule.FIFO{},
