--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -115,6 +115,9 @@
 	// Started is the Unix time in milliseconds at which the server started; 0 when
 	// unknown.
 	Started int64
+	// Software is the version of the server's software. Events of one stream come from
+	// servers of one version.
+	Software string
 	// Version increases with each change of the registration.
 	Version Version
 	// Restored registrations were read from an older copy with which the registry came
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -35,6 +35,9 @@
 	Prefixes []uint64
 	// LastEvent is the ID of the last event that the caller received; "" for none.
 	LastEvent string
+	// Resumes is the ID of the call that brought the first event of the stream that the
+	// caller takes up after LastEvent; "" for a new stream.
+	Resumes string
 }
 
 // Answer sends the response to the caller.
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -28,6 +28,7 @@
 // ServerSnapshot is the router's state of one server.
 type ServerSnapshot struct {
 	ID, Service, Addr, DataCentre string
+	Software                      string
 	Stage                         directory.Stage
 	Draining, Suspected           bool
 	// Advice is what the server has said of itself in its answers.
@@ -82,7 +83,7 @@
 		}
 		failures, service := b.health.averages()
 		row := ServerSnapshot{
-			ID: id, Service: s.Service, Addr: s.Addr, DataCentre: s.DataCentre, Stage: s.Stage, Draining: s.Draining,
+			ID: id, Service: s.Service, Software: s.Software, Addr: s.Addr, DataCentre: s.DataCentre, Stage: s.Stage, Draining: s.Draining,
 			Suspected: !b.usable(time.Now()), Calls: b.localCalls.Load(), OtherCalls: b.remoteCalls.Load(),
 			FailureRate: failures, WorkMillis: service.Milliseconds(),
 			Advice: newAdviceSnapshot(b, time.Now()),
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -80,7 +80,7 @@
 // connection within a round trip.
 func (x *exchange) streamBroken(b *backend, err error) {
 	x.tried[b.Name()] = true
-	x.warn("stream broken", "server", b.Name(), "events", x.events, "err", err)
+	x.warn("stream broken", "server", b.Name(), "software", b.server.Load().Software, "events", x.events, "err", err)
 	if errors.Is(err, context.Canceled) {
 		return // aborted by this process
 	}
@@ -106,7 +106,7 @@
 // completed records the end of a complete stream and its event gaps.
 func (x *exchange) completed(b *backend, job *dispatch.Job, events int, began time.Time, gaps *gapMedian) {
 	x.router.count.completed.Add(1)
-	x.log("answered", "server", b.Name(), "events", x.events, "attempts", x.attempts, "stream_ms", time.Since(began).Milliseconds())
+	x.log("answered", "server", b.Name(), "software", b.server.Load().Software, "events", x.events, "attempts", x.attempts, "stream_ms", time.Since(began).Milliseconds())
 	if events == 0 {
 		return
 	}
