--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -22,6 +22,8 @@
 	servers     *fakeServers
 	entries     []*router.Router
 	directories []*directory.Directory
+	// stop stops the load exchange of each entry.
+	stop []context.CancelFunc
 	// observe, if not nil, sees each request that arrives at a server, and returns what its
 	// answer says of the server.
 	observe func(entry int, server string) advisory.Notice
@@ -31,9 +33,9 @@
 func withRegion(t *testing.T, entries int, test func(t *testing.T, g *region)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		network := emulator.NewNetwork()
 		g := &region{servers: newFakeServers()}
 		ctx, cancel := context.WithCancel(context.Background())
-		network := emulator.NewNetwork()
 		var background sync.WaitGroup
 		addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
 		for i := range entries {
@@ -49,7 +51,9 @@
 			o.Peers = x
 			r = router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
 			g.entries, g.directories = append(g.entries, r), append(g.directories, d)
-			background.Go(func() { x.Run(ctx) })
+			own, stop := context.WithCancel(ctx)
+			g.stop = append(g.stop, stop)
+			background.Go(func() { x.Run(own) })
 		}
 		defer func() {
 			cancel()
--- /dev/null
+++ b/internal/router/versions_test.go
@@ -0,0 +1,235 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/router"
+	"github.com/samphirestream/samphirestream/internal/upstream"
+)
+
+// setSoftware registers model servers with versions of their software, at all entries.
+func (g *region) setSoftware(versions map[string]string) {
+	for _, d := range g.directories {
+		for id, v := range versions {
+			s := *d.Current().Servers[id]
+			s.Software = v
+			s.Version.Revision++
+			d.Put(&s)
+		}
+	}
+}
+
+const eventsPerStream = 6
+
+// versionedStream is an answer whose events name the software that made them.
+type versionedStream struct {
+	software     string
+	next, breaks int // the event before which the stream breaks; 0: it does not
+	buffered     *strings.Reader
+}
+
+func (s *versionedStream) Read(p []byte) (int, error) {
+	if s.buffered == nil || s.buffered.Len() == 0 {
+		time.Sleep(20 * time.Millisecond)
+		switch s.next {
+		case eventsPerStream + 1:
+			return 0, io.EOF
+		case s.breaks:
+			return 0, &upstream.Error{Progress: upstream.Broken, Err: io.ErrUnexpectedEOF}
+		}
+		s.buffered = strings.NewReader(fmt.Sprintf("id: %d\ndata: %s\n\n", s.next, s.software))
+		s.next++
+	}
+	return s.buffered.Read(p)
+}
+
+// versioned makes a server serve streams. It breaks a share of them after some events.
+func versioned(software string, broken float64, rnd *rand.Rand) behaviour {
+	var mu sync.Mutex // guards rnd
+	return func(_ context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		after, _ := strconv.Atoi(o.LastEvent) // "": a new stream
+		s := &versionedStream{software: software, next: after + 1}
+		mu.Lock()
+		defer mu.Unlock()
+		if rnd.Float64() < broken {
+			s.breaks = s.next + 1 + rnd.IntN(2)
+		}
+		return reply(200, s), nil
+	}
+}
+
+// softwareOf returns the versions that made the events of an answer.
+func softwareOf(body string) map[string]bool {
+	out := map[string]bool{}
+	for line := range strings.SplitSeq(body, "\n") {
+		if v, ok := strings.CutPrefix(line, "data: "); ok {
+			out[v] = true
+		}
+	}
+	return out
+}
+
+// takeUp returns a request that takes up the stream of a former one.
+func takeUp(c *router.Call, answers string) *router.Call {
+	next := newCall(c.Path)
+	next.Resumes, next.LastEvent = c.ID, strconv.Itoa(strings.Count(answers, "id: "))
+	if c.Resumes != "" {
+		next.Resumes = c.Resumes
+	}
+	return next
+}
+
+// stream plays a caller that takes its stream up at another entry when it breaks off.
+func (g *region) stream(path string, entry func() int) (body string, takenUp, wentOn int, last *recordedAnswer) {
+	c := newCall(path)
+	last = serve(context.Background(), g.entries[entry()], c)
+	body = last.body.String()
+	for range 2 {
+		if !last.aborted {
+			break
+		}
+		takenUp++
+		c = takeUp(c, body)
+		last = serve(context.Background(), g.entries[entry()], c)
+		body += last.body.String()
+		if last.starts > 0 {
+			wentOn++
+		}
+	}
+	return body, takenUp, wentOn, last
+}
+
+// TestStreamsGoOnAtTheSoftwareThatBeganThem breaks many streams while servers of two
+// versions serve.
+func TestStreamsGoOnAtTheSoftwareThatBeganThem(t *testing.T) {
+	for name, entries := range map[string]int{"one entry": 1, "five entries": 5, "many entries": 33} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, entries, func(t *testing.T, g *region) {
+				is := is.New(t)
+				versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}
+				g.setSoftware(versions)
+				for id, v := range versions {
+					g.servers.set(id, versioned(v, 0.5, rand.New(rand.NewPCG(1, uint64(id[1])))))
+				}
+				const streams = 200
+				var mu sync.Mutex // guards the counts and rnd
+				var mixed, takenUp, wentOn int
+				rnd := rand.New(rand.NewPCG(2, uint64(entries)))
+				entry := func() int {
+					mu.Lock()
+					defer mu.Unlock()
+					return rnd.IntN(entries)
+				}
+				var all sync.WaitGroup
+				for range streams {
+					time.Sleep(150 * time.Millisecond)
+					all.Go(func() {
+						body, n, on, _ := g.stream("/resumable/x", entry)
+						mu.Lock()
+						defer mu.Unlock()
+						takenUp, wentOn = takenUp+n, wentOn+on
+						if len(softwareOf(body)) > 1 {
+							mixed++
+						}
+					})
+				}
+				all.Wait()
+				t.Logf("%d streams of two versions; of %d taken up %d went on", mixed, takenUp, wentOn)
+				is.Equal(mixed, 0)
+				is.True(takenUp > 20)
+				is.True(float64(wentOn) >= 0.9*float64(takenUp))
+			})
+		})
+	}
+}
+
+// cutAnswer is an answer whose connection is cut when ctx ends.
+type cutAnswer struct {
+	recordedAnswer
+	ctx context.Context
+}
+
+func (a *cutAnswer) Write(p []byte) error {
+	if a.ctx.Err() != nil {
+		return a.ctx.Err()
+	}
+	return a.recordedAnswer.Write(p)
+}
+
+// TestStreamsOfAKilledEntryGoOnAtTheSoftwareThatBeganThem kills the entry that relays a
+// stream right after the first event.
+func TestStreamsOfAKilledEntryGoOnAtTheSoftwareThatBeganThem(t *testing.T) {
+	withRegion(t, 5, func(t *testing.T, g *region) {
+		is := is.New(t)
+		versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}
+		g.setSoftware(versions)
+		for id, v := range versions {
+			g.servers.set(id, versioned(v, 0, rand.New(rand.NewPCG(1, 1))))
+		}
+		const streams = 20
+		calls := make([]*router.Call, streams)
+		answers := make([]*cutAnswer, streams)
+		ctx, kill := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		for i := range streams {
+			calls[i] = newCall("/resumable/x")
+			calls[i].PromptTokens, calls[i].MaxTokens, calls[i].ExpectedTokens = 500, 500, 400
+			answers[i] = &cutAnswer{ctx: ctx}
+			all.Go(func() { g.entries[0].Serve(ctx, calls[i], answers[i]) })
+		}
+		time.Sleep(prefillTime + 50*time.Millisecond)
+		g.stop[0]()
+		kill()
+		all.Wait()
+		begun := 0
+		for i, a := range answers {
+			if a.starts == 0 {
+				continue
+			}
+			begun++
+			next := serve(context.Background(), g.entries[1+i%4], takeUp(calls[i], a.body.String()))
+			is.Equal(next.status, 200)
+			is.Equal(len(softwareOf(a.body.String()+next.body.String())), 1)
+		}
+		is.True(begun > streams/2)
+	})
+}
+
+// TestStreamsWhoseSoftwareIsGoneAreNotMixed takes up a stream of a version that no server
+// has any longer, and one whose version nobody knows.
+func TestStreamsWhoseSoftwareIsGoneAreNotMixed(t *testing.T) {
+	withRegion(t, 2, func(t *testing.T, g *region) {
+		is := is.New(t)
+		g.setSoftware(map[string]string{"d1": "v1", "d2": "v1", "d3": "v1"})
+		for _, id := range decodeServers {
+			g.servers.set(id, versioned("v1", 1, rand.New(rand.NewPCG(1, 1))))
+		}
+		c := newCall("/resumable/x")
+		a := serve(context.Background(), g.entries[0], c)
+		is.True(a.aborted)
+		g.setSoftware(map[string]string{"d1": "v2", "d2": "v2", "d3": "v2"})
+		unknown := newCall("/resumable/x")
+		unknown.ID = "unknown"
+		for _, former := range []*router.Call{c, unknown} {
+			before := len(g.servers.recorded())
+			next := serve(context.Background(), g.entries[1], takeUp(former, a.body.String()))
+			is.Equal(next.starts, 0)
+			is.Equal(next.failure.Outcome, apierror.OutcomeNotRun)
+			is.Equal(len(g.servers.recorded()), before) // nothing was prefilled in vain
+		}
+		time.Sleep(2 * time.Minute) // streams of v1 are over
+		next := serve(context.Background(), g.entries[1], takeUp(unknown, ""))
+		is.Equal(next.starts, 1)
+	})
+}
