--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -40,6 +40,15 @@
 	Resumes string
 }
 
+// streamID returns the ID of the call that began the stream: that of the call itself unless
+// it takes up another one's.
+func (c *Call) streamID() string {
+	if c.Resumes != "" {
+		return c.Resumes
+	}
+	return c.ID
+}
+
 // Answer sends the response to the caller.
 type Answer interface {
 	// Start sends the status and header of a response. length is that of the body, or
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -33,12 +33,7 @@
 func (r *Router) Origin(stream origin.Key) (software string, ok bool) { return r.origins.Get(stream) }
 
 // stream returns the key of the stream that the call begins or takes up.
-func (x *exchange) stream() origin.Key {
-	if x.call.Resumes != "" {
-		return origin.KeyOf(x.call.Resumes)
-	}
-	return origin.KeyOf(x.call.ID)
-}
+func (x *exchange) stream() origin.Key { return origin.KeyOf(x.call.streamID()) }
 
 // recordOrigin remembers that a server begins the stream of the call, or continues it, and
 // tells other entries before the first event is sent: they need it if this entry ends.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,7 +98,7 @@
 		x.fail(apierror.NotRun(apierror.KindNotFound, "no route matches "+c.Host+c.Path, "use a route of the configuration"))
 		return
 	}
-	x.service = x.route.Service(c.ID)
+	x.service = x.route.Service(c.streamID())
 	x.deadline = c.Arrived.Add(x.route.Timeout)
 	if c.Deadline.Before(x.deadline) {
 		x.deadline = c.Deadline
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/router"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
@@ -284,3 +287,42 @@
 		is.True(waited <= 2*target+prefillTime)
 	})
 }
+// splitResumableRoute divides the requests of the resumable route between two services.
+func splitResumableRoute(d *directory.Directory) {
+	c := *d.Current().Config
+	c.Version++
+	c.Routes = slices.Clone(c.Routes)
+	for i := range c.Routes {
+		if c.Routes[i].Resumable {
+			c.Routes[i].Shares = []directory.TrafficShare{{Service: "llm", Weight: 1}, {Service: "other", Weight: 1}}
+		}
+	}
+	c.Services = maps.Clone(c.Services)
+	c.Services["other"] = &directory.Service{Name: "other", Engine: c.Services["llm"].Engine}
+	d.SetConfig(&c)
+	d.Put(&directory.Server{ID: "q1", Service: "other", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+	d.Put(&directory.Server{ID: "e1", Service: "other", Slots: 12, DataCentre: "dc", Stage: directory.Decode})
+}
+
+// TestStreamsGoOnAtTheServiceThatBeganThem takes up streams of a route that is split
+// between services with different weights.
+func TestStreamsGoOnAtTheServiceThatBeganThem(t *testing.T) {
+	withRegion(t, 2, func(t *testing.T, g *region) {
+		is := is.New(t)
+		for _, d := range g.directories {
+			splitResumableRoute(d)
+		}
+		for _, id := range decodeServers {
+			g.servers.set(id, versioned("llm", 0.5, rand.New(rand.NewPCG(1, uint64(id[1])))))
+		}
+		g.servers.set("e1", versioned("other", 0.5, rand.New(rand.NewPCG(1, 9))))
+		rnd, mixed := rand.New(rand.NewPCG(3, 3)), 0
+		for range 60 {
+			body, _, _, _ := g.stream("/resumable/x", func() int { return rnd.IntN(2) })
+			if len(softwareOf(body)) > 1 {
+				mixed++
+			}
+		}
+		is.Equal(mixed, 0)
+	})
+}
