--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -287,6 +287,7 @@
 		is.True(waited <= 2*target+prefillTime)
 	})
 }
+
 // splitResumableRoute divides the requests of the resumable route between two services.
 func splitResumableRoute(d *directory.Directory) {
 	c := *d.Current().Config
