Servers that say that they leave get no new work (DRAIN)

What servers would see: requests from an entry to which they had said, in answers, that they leave, for as long as the store lists them as ready: 21 to 38 in 10 s, on all paths.

Change: one question, leaving(), asks the registration and what this boot has said, and is used by each choice of a server, by the split of stages and by orders. The other entries are told, with the age. What runs there runs on. A new boot is not leaving; a registration that says ready again, or is read from an older store, changes nothing.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -41,8 +41,9 @@
 // Advice is what a server has said of itself until now.
 type Advice struct {
 	// LeavingSince is the time since which it is known that the server leaves; zero if it
-	// does not.
-	LeavingSince time.Time
+	// does not. LeavingFromPeer is set while only other entries were told.
+	LeavingSince    time.Time
+	LeavingFromPeer bool
 	// ClosedUntil is the time until which the server wants nothing from this process.
 	ClosedUntil time.Time
 	// Limited is set while the server names a limit, and Limit is that in requests a
@@ -64,8 +65,11 @@
 // request that was sent before the present limit was heard of may lower the limit, but
 // neither raise nor end it.
 func (a Advice) with(n Notice) Advice {
-	if n.Leaving && !a.Leaving() {
-		a.LeavingSince = n.Received
+	if n.Leaving {
+		if !a.Leaving() {
+			a.LeavingSince, a.LeavingFromPeer = n.Received, true
+		}
+		a.LeavingFromPeer = a.LeavingFromPeer && n.FromPeer
 	}
 	if n.RetryAfter > 0 {
 		a.ClosedUntil = n.Received.Add(n.RetryAfter)
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -457,11 +457,11 @@
 	})
 }
 
-func TestLimitsAreSentWithTheirAges(t *testing.T) {
+func TestAdviceIsSentWithItsAge(t *testing.T) {
 	is := is.New(t)
 	sent, now := time.Now(), time.Now().Add(time.Minute)
 	five := 5.0
-	u := Usage{Started: 7, Limit: &Limit{PerSecond: &five, Asked: sent.Add(-2 * time.Second), Heard: sent.Add(-time.Second)}}
+	u := Usage{Started: 7, LeavingSince: sent.Add(-3 * time.Second), Limit: &Limit{PerSecond: &five, Asked: sent.Add(-2 * time.Second), Heard: sent.Add(-time.Second)}}
 	b, err := encode(&message{Uses: map[string]Usage{"s": u.withAges(sent)}})
 	is.NoErr(err)
 	m, err := decode(b)
@@ -471,6 +471,7 @@
 	is.Equal(*got.Limit.PerSecond, five)
 	is.True(got.Limit.Asked.Equal(now.Add(-2 * time.Second)))
 	is.True(got.Limit.Heard.Equal(now.Add(-time.Second)))
+	is.True(got.LeavingSince.Equal(now.Add(-3 * time.Second)))
 	is.True(!u.empty())
-	is.True(u.withAges(sent.Add(limitTTL)).empty())
+	is.True(u.withAges(sent.Add(adviceTTL)).empty())
 }
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -37,6 +37,11 @@
 	// Started is the start, in Unix milliseconds, of the server that was replaced or that
 	// said something of itself: a later one under the same ID is not meant.
 	Started int64 `cbor:"8,keyasint,omitempty"`
+	// LeavingSince is the time at which the server told the entry that it leaves; zero if it
+	// did not, or long ago. LeavingAge is the time since then in milliseconds, in messages
+	// only; nil if it did not.
+	LeavingSince time.Time `cbor:"-"`
+	LeavingAge   *int64    `cbor:"10,keyasint,omitempty"`
 	// Limit is what the newest answer to the entry said of a limit; nil if none did lately.
 	Limit *Limit `cbor:"9,keyasint,omitempty"`
 	// BrokenCallTimes are the times of the calls within BrokenCallWindow that the
@@ -59,9 +64,9 @@
 	HeardAge int64 `cbor:"3,keyasint"`
 }
 
-// limitTTL is the time for which messages hold what an answer said of a limit. Later it
-// has reached all entries, and those that start hear it from the server.
-const limitTTL = 30 * time.Second
+// adviceTTL is the time for which messages hold what a server said of itself. Later it has
+// reached all entries, and those that start hear it from the server.
+const adviceTTL = 30 * time.Second
 
 // Run is one request at a decode server.
 type Run struct {
@@ -102,11 +107,17 @@
 	if u.Limit != nil {
 		l := *u.Limit
 		l.AskedAge, l.HeardAge = now.Sub(l.Asked).Milliseconds(), now.Sub(l.Heard).Milliseconds()
-		if u.Limit = &l; now.Sub(l.Heard) > limitTTL {
+		if u.Limit = &l; now.Sub(l.Heard) > adviceTTL {
 			u.Limit = nil
 		}
 	}
-	if u.ReplacedUntil.IsZero() && u.Limit == nil {
+	if age := now.Sub(u.LeavingSince); !u.LeavingSince.IsZero() && age <= adviceTTL {
+		millis := age.Milliseconds()
+		u.LeavingAge = &millis
+	} else {
+		u.LeavingSince, u.LeavingAge = time.Time{}, nil
+	}
+	if u.ReplacedUntil.IsZero() && u.Limit == nil && u.LeavingSince.IsZero() {
 		u.Started = 0
 	}
 	return u
@@ -125,6 +136,9 @@
 	if u.StageChangeLeft > 0 {
 		u.StageChangeUntil = now.Add(time.Duration(u.StageChangeLeft) * time.Millisecond)
 	}
+	if u.LeavingAge != nil {
+		u.LeavingSince = now.Add(-time.Duration(*u.LeavingAge) * time.Millisecond)
+	}
 	if u.Limit != nil {
 		u.Limit.Asked = now.Add(-time.Duration(u.Limit.AskedAge) * time.Millisecond)
 		u.Limit.Heard = now.Add(-time.Duration(u.Limit.HeardAge) * time.Millisecond)
@@ -136,7 +150,7 @@
 }
 
 func (u Usage) empty() bool {
-	return u.ReplacedUntil.IsZero() && u.Limit == nil && u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
+	return u.ReplacedUntil.IsZero() && u.Limit == nil && u.LeavingSince.IsZero() && u.Calls == 0 && u.PrefillTokens == 0 && u.StageChangeUntil.IsZero() && !u.Unreachable && len(u.Runs)+len(u.BrokenCallTimes) == 0
 }
 
 // Waiting is a request that waits for a server.
--- a/internal/router/advice.go
+++ b/internal/router/advice.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/loadexchange"
 )
 
 // Observe records what an answer says of its server. at is the registration to which the
@@ -27,7 +28,7 @@
 	before, after := r.fleet.advice.State(bootOf(at)).Record(n)
 	logger := level.Info(r.log)
 	if after.Leaving() && !before.Leaving() {
-		_ = logger.Log("msg", "server says that it leaves", "server", at.ID, "service", at.Service, "boot", at.Started)
+		_ = logger.Log("msg", "server says that it leaves", "server", at.ID, "service", at.Service, "boot", at.Started, "from_peer", n.FromPeer)
 	}
 	if after.ClosedUntil != before.ClosedUntil {
 		_ = logger.Log("msg", "server wants nothing for a while", "server", at.ID, "service", at.Service, "boot", at.Started, "for_ms", n.RetryAfter.Milliseconds())
@@ -43,6 +44,30 @@
 	return true
 }
 
+// recordRemoteAdvice records what a server said of itself to another entry.
+func (r *Router) recordRemoteAdvice(at *directory.Server, u loadexchange.Usage) {
+	if !u.LeavingSince.IsZero() {
+		r.record(at, advisory.Notice{Leaving: true, Received: u.LeavingSince, FromPeer: true})
+	}
+	if l := u.Limit; l != nil {
+		r.record(at, advisory.Notice{Limit: l.PerSecond, ToRequest: true, Sent: l.Asked, Received: l.Heard, FromPeer: true})
+	}
+}
+
+// addAdvice adds to what is told to the other entries what the server told this one.
+func addAdvice(u *loadexchange.Usage, b *backend) {
+	a := b.advice.Advice()
+	if a.Leaving() && !a.LeavingFromPeer {
+		u.LeavingSince, u.Started = a.LeavingSince, b.server.Load().Started
+	}
+	if !a.LimitHeard.IsZero() && !a.LimitFromPeer {
+		u.Limit, u.Started = &loadexchange.Limit{Asked: a.LimitAsked, Heard: a.LimitHeard}, b.server.Load().Started
+		if a.Limited {
+			u.Limit.PerSecond = &a.Limit
+		}
+	}
+}
+
 // admits reports whether a server may get a request of this entry now, by what it has said
 // of itself.
 func (f *fleet) admits(b *backend, now time.Time) bool {
@@ -73,7 +98,7 @@
 	now := time.Now()
 	return slices.ContainsFunc(f.synced.Services[service], func(s *directory.Server) bool {
 		b := f.backends[s.ID]
-		return b != nil && !s.Draining && !f.admits(b, now)
+		return b != nil && !b.leaving() && !f.admits(b, now)
 	})
 }
 
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -63,10 +63,16 @@
 	return b.health.usable() && now.UnixNano() >= max(b.replacedUntil.Load(), b.replacedRemotely.Load())
 }
 
+// leaving reports whether the server leaves, by its registration or by its own word, and
+// gets no new work.
+func (b *backend) leaving() bool {
+	return b.server.Load().Draining || b.advice.Advice().Leaving()
+}
+
 // acceptsWork reports whether a model server takes new work. Pauses for broken
 // calls (see brokenCalls) do not count here.
 func (b *backend) acceptsWork(now time.Time) bool {
-	return b.capacity.Load() != nil && !b.server.Load().Draining && b.usable(now) && b.switchTimeLeft(now) == 0
+	return b.capacity.Load() != nil && !b.leaving() && b.usable(now) && b.switchTimeLeft(now) == 0
 }
 
 // capacity is the number of slots of a model server and its memory in tokens.
@@ -306,7 +312,7 @@
 	now := time.Now()
 	for _, s := range f.synced.Services[service] {
 		b := f.backends[s.ID]
-		if b == nil || s.Draining || tried[s.ID] || !f.admits(b, now) {
+		if b == nil || b.leaving() || tried[s.ID] || !f.admits(b, now) {
 			continue
 		}
 		if b.usable(now) {
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -145,7 +145,7 @@
 		b.decay(until - since)
 		rate := r.fleet.speedsOf(service).PrefillRate()
 		for _, s := range prefillServers {
-			if s.server.Load().Draining {
+			if s.leaving() {
 				continue
 			}
 			if s.switchTimeLeft(wall) > 0 {
@@ -160,7 +160,7 @@
 					b.add(run, rate, s.view.StepMillis(), projectedShare*float64(s.view.Pieces()))
 				}
 			})
-			if s.server.Load().Draining {
+			if s.leaving() {
 				continue
 			}
 			if s.switchTimeLeft(wall) > 0 {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
@@ -113,8 +112,8 @@
 		if !o.ReplacedUntil.IsZero() && o.Started == b.server.Load().Started {
 			b.replacedRemotely.Store(max(b.replacedRemotely.Load(), o.ReplacedUntil.UnixNano()))
 		}
-		if o.Limit != nil && o.Started == b.server.Load().Started {
-			r.record(b.server.Load(), advisory.Notice{Limit: o.Limit.PerSecond, ToRequest: true, Sent: o.Limit.Asked, Received: o.Limit.Heard, FromPeer: true})
+		if o.Started == b.server.Load().Started {
+			r.recordRemoteAdvice(b.server.Load(), o)
 		}
 		u.Tokens += o.PrefillTokens
 		u.Slots += len(o.Runs)
@@ -176,12 +175,7 @@
 	if until := b.replacedUntil.Load(); until > time.Now().UnixNano() {
 		out.ReplacedUntil, out.Started = time.Unix(0, until), b.server.Load().Started
 	}
-	if a := b.advice.Advice(); !a.LimitHeard.IsZero() && !a.LimitFromPeer {
-		out.Limit, out.Started = &loadexchange.Limit{Asked: a.LimitAsked, Heard: a.LimitHeard}, b.server.Load().Started
-		if a.Limited {
-			out.Limit.PerSecond = &a.Limit
-		}
-	}
+	addAdvice(&out, b)
 	if b.orderedLocally.Load() {
 		out.StageChangeUntil = time.Unix(0, b.stageChangeUntil.Load())
 	}
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -83,7 +83,7 @@
 		}
 		failures, service := b.health.averages()
 		row := ServerSnapshot{
-			ID: id, Service: s.Service, Software: s.Software, Addr: s.Addr, DataCentre: s.DataCentre, Stage: s.Stage, Draining: s.Draining,
+			ID: id, Service: s.Service, Software: s.Software, Addr: s.Addr, DataCentre: s.DataCentre, Stage: s.Stage, Draining: b.leaving(),
 			Suspected: !b.usable(time.Now()), Calls: b.localCalls.Load(), OtherCalls: b.remoteCalls.Load(),
 			FailureRate: failures, WorkMillis: service.Milliseconds(),
 			Advice: newAdviceSnapshot(b, time.Now()),
