--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -287,16 +287,9 @@
 // uptime returns the time since the agent started, on its monotonic clock.
 func (a *Agent) uptime() time.Duration { return time.Since(a.start) }
 
-// every calls f at an interval until ctx ends.
+// every calls f at an interval, which begins when f has returned, until ctx ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f()
-		}
+	for sleep.WithContext(ctx, interval) {
+		f()
 	}
 }
