Streams that end without further events keep their header and proof

The header is sent at the end of such a stream too. TestStreamsWithoutFurtherEventsKeepTheirProof failed before.

--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -63,6 +63,7 @@
 		}
 		switch {
 		case err == io.EOF && len(pending) == 0:
+			x.start(reply)
 			x.completed(b, job, x.events-eventsBefore, began, gaps)
 			return nil
 		case err == io.EOF || len(pending) > maxEvent:
@@ -125,11 +126,20 @@
 	x.router.shareSpeeds(x.service)
 }
 
+// start sends the header of a stream unless the answer has started. It reports whether it
+// did.
+func (x *exchange) start(reply *Reply) bool {
+	if x.started {
+		return false
+	}
+	x.started = true
+	x.answer.Start(reply.Status, reply.Header, -1)
+	return true
+}
+
 // sendEvents sends complete events to the caller.
 func (x *exchange) sendEvents(reply *Reply, events []byte) error {
-	if !x.started {
-		x.started = true
-		x.answer.Start(reply.Status, reply.Header, -1)
+	if x.start(reply) {
 		x.observe(stageFirst, time.Since(x.call.Arrived))
 		x.observe(stageDecode, time.Since(x.prefilled))
 		x.router.observeStart(x.service, time.Since(x.prefilled))
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -327,3 +327,18 @@
 		is.Equal(mixed, 0)
 	})
 }
+
+// TestStreamsWithoutFurtherEventsKeepTheirProof takes up a stream of which only the end is
+// missing.
+func TestStreamsWithoutFurtherEventsKeepTheirProof(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.setAll(decodeServers, ok(""))
+		c := newCall("/resumable/x")
+		c.Resumes, c.LastEvent = "first", "6"
+		a := serve(context.Background(), f.Router, c)
+		is.Equal(a.starts, 1)
+		is.Equal(a.status, 200)
+		is.True(!a.aborted)
+	})
+}
