Agents and entries keep to what engines and services say of themselves

The same state and decisions as on the users' platform, package advisory, serve the project's own ground: an agent reads Retry-After (with 503), Limit-Per-Second and Leaving from all answers of its engine or service, refuses new work that it does not want as not run, and reports in its load for how long. Entries leave such an agent out until then; one whose engine leaves counts as draining. An engine that leaves says so in all answers, so that an answer without it is that of another life.

--- a/internal/advisory/limit.go
+++ b/internal/advisory/limit.go
@@ -72,3 +72,25 @@
 	s.bucket.tokens -= tokens
 	return true
 }
+
+// Wait returns the time until the server may get a request of an entry with a share of its
+// limit: 0 if it may get one now. It reports false if the entry's share is 0.
+func (s *State) Wait(now time.Time, share func(limit float64) float64) (time.Duration, bool) {
+	a := s.Advice()
+	wait := a.ClosedFor(now)
+	if !a.Limited {
+		return wait, true
+	}
+	rate := share(a.Limit)
+	if rate == 0 {
+		return wait, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bucket.fill(now, rate)
+	missing := time.Duration(max(0, 1-s.bucket.tokens) / rate * float64(time.Second))
+	return max(wait, missing), true
+}
+
+// Alone is the share of a process that is the only one to send to a server.
+func Alone(limit float64) float64 { return EntryShare(limit, 0, 1) }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/engine"
 	"github.com/samphirestream/samphirestream/internal/lifecycle"
@@ -66,9 +67,11 @@
 	engine    Engine
 	orders    *orders.Reconciler
 	plain     Service
-	minter    *ticket.Minter
-	start     time.Time
-	count     counters
+	// advice is what the present life of the engine or service has said of itself.
+	advice atomic.Pointer[advisory.State]
+	minter *ticket.Minter
+	start  time.Time
+	count  counters
 
 	// mu guards the fields below up to inherited. It is acquired before the lock
 	// of any attempt.
@@ -114,12 +117,17 @@
 		leases:     map[protocol.NodeRef]time.Time{},
 		tombstones: newTombstones(maxTombstones),
 	}
+	a.advice.Store(&advisory.State{})
 	a.calls = newCallTable(maxRememberedCalls, maxRememberedBytes, a.uptime)
 	if a.engine == nil {
-		a.engine = engine.NewClient(cfg.BackendURL)
+		c := engine.NewClient(cfg.BackendURL)
+		c.Observe(a.Observe)
+		a.engine = c
 	}
 	if a.plain == nil {
-		a.plain = engine.NewPlainClient(cfg.BackendURL)
+		c := engine.NewPlainClient(cfg.BackendURL)
+		c.Observe(a.Observe)
+		a.plain = c
 	}
 	a.orders = a.newReconciler()
 	a.publish()
@@ -282,7 +290,9 @@
 	return apierror.NotRun(apierror.KindDraining, "the agent of "+a.cfg.Backend+" is draining", "try another backend server")
 }
 
-func (a *Agent) leaving() bool { return a.cfg.Leaving != nil && a.cfg.Leaving() }
+func (a *Agent) leaving() bool {
+	return a.cfg.Leaving != nil && a.cfg.Leaving() || a.advice.Load().Advice().Leaving()
+}
 
 // uptime returns the time since the agent started, on its monotonic clock.
 func (a *Agent) uptime() time.Duration { return time.Since(a.start) }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/engine"
 	"github.com/samphirestream/samphirestream/internal/lifecycle"
@@ -251,3 +252,50 @@
 	a.shares.RecordUnmetDemand(a.uptime(), "q", 1)
 	is.True(a.shares.MustYield(a.uptime(), "p", 1))
 }
+
+// TestServicesAreLeftAloneAtTheirWord lets a service ask for a pause and for a limit, and say
+// that it leaves.
+func TestServicesAreLeftAloneAtTheirWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &countingService{}
+		a := newPlainAgent(t, s)
+		said := func(n advisory.Notice) {
+			n.ToRequest, n.Sent, n.Received = true, time.Now(), time.Now()
+			a.Observe(n, nil)
+		}
+		next := 0
+		call := func() protocol.CallReply {
+			next++
+			return a.testCall(fmt.Sprint("c", next), time.Hour, time.Second)
+		}
+		said(advisory.Notice{RetryAfter: 3 * time.Second})
+		reply := call()
+		is.Equal(reply.Error.Outcome, apierror.OutcomeNotRun)
+		is.Equal(reply.Error.RetryAfter, 3*time.Second)
+		is.Equal(a.load().ClosedFor, 3*time.Second)
+		is.Equal(s.calls, 0)
+		time.Sleep(3 * time.Second)
+		is.Equal(call().Code, 201)
+
+		five := 5.0
+		said(advisory.Notice{Limit: &five})
+		before := s.calls
+		for range 100 {
+			time.Sleep(40 * time.Millisecond)
+			call()
+		}
+		is.True(s.calls-before >= 18 && s.calls-before <= 21) // 4 s
+		time.Sleep(time.Millisecond)
+		said(advisory.Notice{})
+		is.Equal(call().Code, 201)
+		is.Equal(call().Code, 201)
+
+		said(advisory.Notice{Leaving: true})
+		is.Equal(call().Error.Kind, apierror.KindDraining)
+		is.True(a.load().Draining)
+		time.Sleep(time.Millisecond)
+		said(advisory.Notice{}) // of another life
+		is.Equal(call().Code, 201)
+	})
+}
--- a/internal/agent/commands_plain.go
+++ b/internal/agent/commands_plain.go
@@ -168,6 +168,9 @@
 	defer a.mu.Unlock()
 	recorded := ticketID != "" && a.calls.has(ticketID)
 	refusal := a.checkAccepting()
+	if refusal == nil {
+		refusal = a.checkAdvice()
+	}
 	switch {
 	case recorded:
 	case refusal != nil:
@@ -177,6 +180,9 @@
 	case a.capacity.slots.used >= maxPlainInProgress:
 		return apierror.NotRun(apierror.KindOverloaded, "too many calls at "+a.cfg.Backend, "retry after the delay").WithRetryAfter(engineRetryDelay)
 	}
+	if !recorded {
+		a.countRequest()
+	}
 	a.capacity.slots.used++
 	a.publishLocked()
 	return nil
--- a/internal/agent/snapshot.go
+++ b/internal/agent/snapshot.go
@@ -56,6 +56,7 @@
 	l := s.Load
 	l.QueuedTokens = s.predictor.queuedTokens(a.uptime())
 	l.Draining = !a.lifecycle.Accepting() || a.leaving()
+	l.ClosedFor = a.closedFor()
 	l.Note = a.store.Current().Number
 	return l
 }
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -78,6 +78,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	left, refusal := a.checkNew(c, at.ID)
+	if refusal == nil {
+		refusal = a.checkAdvice()
+	}
 	if refusal == nil {
 		refusal = a.admitAttempt(at, phase, r)
 	}
@@ -85,6 +88,7 @@
 		a.count.refused.Add(1)
 		return nil, refusal
 	}
+	a.countRequest()
 	t := newAttempt(at, c, left)
 	t.phase, t.slots, t.pieces, t.tokens = phase, r.slots, r.pieces, r.tokens
 	t.reserved, t.opened = r.reserve, a.uptime()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// Observe passes what the engine says of itself in its answers to an observer. It must be
+// called before the client is used.
+func (c *Client) Observe(observe Observer) {
+	c.data.Transport = observed{c.data.Transport, observe}
+	c.control.Transport = observed{c.control.Transport, observe}
+}
+
 // CloseIdleConnections closes idle connections, so that later calls open new ones.
 // Calls in progress keep theirs.
 func (c *Client) CloseIdleConnections() { c.data.CloseIdleConnections() }
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -30,6 +30,12 @@
 	}}
 }
 
+// Observe passes what the service says of itself in its answers to an observer. It must be
+// called before the client is used.
+func (p *PlainClient) Observe(observe Observer) {
+	p.http.Transport = observed{p.http.Transport, observe}
+}
+
 // PlainAnswer is the answer of a plain service.
 type PlainAnswer struct {
 	Code   int
--- a/internal/entry/agentconn.go
+++ b/internal/entry/agentconn.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/protocol"
@@ -29,7 +30,9 @@
 
 	// load is the last reported load. It may be stale; the agent makes the
 	// binding decision.
-	load     atomic.Pointer[protocol.Load]
+	load atomic.Pointer[protocol.Load]
+	// advice is what the agent has reported of what its server says of itself.
+	advice   advisory.State
 	identity atomic.Pointer[identity]
 	// view is the scheduler's recorded state of the server, guarded by the
 	// scheduler's lock.
@@ -176,6 +179,9 @@
 // recordLoad stores a load report and passes it to the scheduler.
 func (c *agentConn) recordLoad(l protocol.Load) {
 	c.load.Store(&l)
+	if l.ClosedFor > 0 {
+		c.advice.Record(advisory.Notice{RetryAfter: l.ClosedFor, Received: time.Now()})
+	}
 	if c.entry.cfg.OnNoteReported != nil {
 		c.entry.cfg.OnNoteReported(l.Note)
 	}
@@ -187,7 +193,7 @@
 func (c *agentConn) usable() bool {
 	id, l := c.identity.Load(), c.load.Load()
 	leaseValid := id != nil && l != nil && time.Since(id.receivedAt) < c.entry.cfg.LeaseDuration
-	return leaseValid && !c.removed.Load() && !l.Draining && c.entry.available(c.server, l)
+	return leaseValid && !c.removed.Load() && !l.Draining && c.advice.Admits(time.Now(), advisory.Alone) && c.entry.available(c.server, l)
 }
 
 // call makes an RPC call and records the load in the reply. The error is an
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/advisory"
 )
 
 // inVirtualTime runs a test on a fleet in virtual time.
@@ -350,3 +352,31 @@
 		is.Equal(x.out.status(), http.StatusCreated)
 	})
 }
+
+// TestEnginesAreLeftAloneAtTheirWord lets an engine ask for a pause, and one say that it leaves.
+func TestEnginesAreLeftAloneAtTheirWord(t *testing.T) {
+	for name, said := range map[string]advisory.Notice{"pause": {RetryAfter: 20 * time.Second}, "leaving": {Leaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(is *is.I, f *fleet) {
+				said.Sent, said.Received = time.Now(), time.Now()
+				f.agents["prefill-1"].agent.Observe(said, nil)
+				time.Sleep(3 * testHeartbeat)
+				for i := range 8 {
+					prompt := fmt.Sprint("prompt ", i)
+					x := f.sendPrompt("entry-1", prompt, true, nil)
+					<-x.done
+					is.Equal(x.out.status(), http.StatusOK)
+					is.Equal(f.engines["prefill-1"].prefills(prompt), 0)
+				}
+				time.Sleep(time.Minute)
+				f.agents["prefill-1"].agent.Observe(advisory.Notice{ToRequest: true, Sent: time.Now(), Received: time.Now()}, nil)
+				f.engines["prefill-2"].setState(true, false)
+				time.Sleep(3 * testHeartbeat)
+				x := f.sendPrompt("entry-1", "last", true, nil)
+				<-x.done
+				is.Equal(x.out.status(), http.StatusOK)
+				is.Equal(f.engines["prefill-1"].prefills("last"), 1)
+			})
+		})
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -47,6 +47,9 @@
 	Draining bool `cbor:"6,keyasint,omitempty" json:"draining"`
 	// Note is the number of the release note in force at the agent.
 	Note uint64 `cbor:"7,keyasint" json:"note"`
+	// ClosedFor is the time for which the backend server takes nothing new, by what it has
+	// said of itself; 0 if it takes new work.
+	ClosedFor time.Duration `cbor:"8,keyasint,omitempty" json:"closed_for,omitempty"`
 }
 
 // Status is the common part of all replies.
