Explaining: what servers have said of themselves; soak with their statements and two versions

The soak's servers name limits, turn requests away, leave, break streams and serve two versions of software, beside all former faults and in a phase without them; callers take streams up at other entries. It judges from the servers' side.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -4,6 +4,8 @@
 package advisory
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +64,29 @@
 // Leaving reports whether the server leaves.
 func (a Advice) Leaving() bool { return !a.LeavingSince.IsZero() }
 
+// String tells what holds now, how old it is and from whom it came, for logs.
+func (a Advice) String() string {
+	now := time.Now()
+	var parts []string
+	if a.Leaving() {
+		parts = append(parts, fmt.Sprintf("leaves, said %d ms ago to %s", now.Sub(a.LeavingSince).Milliseconds(), listener(a.LeavingFromPeer)))
+	}
+	if left := a.ClosedFor(now); left > 0 {
+		parts = append(parts, fmt.Sprintf("wants nothing for %d ms", left.Milliseconds()))
+	}
+	if a.Limited {
+		parts = append(parts, fmt.Sprintf("takes %g requests a second, said %d ms ago to %s", a.Limit, now.Sub(a.LimitHeard).Milliseconds(), listener(a.LimitFromPeer)))
+	}
+	return strings.Join(parts, "; ")
+}
+
+func listener(peer bool) string {
+	if peer {
+		return "another entry"
+	}
+	return "this entry"
+}
+
 // ClosedFor returns the time for which the server wants nothing more from this process; 0 if
 // it does not want to be left alone.
 func (a Advice) ClosedFor(now time.Time) time.Duration { return max(0, a.ClosedUntil.Sub(now)) }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -68,6 +68,7 @@
 	"retry refused": true, "attempt failed": true, "response broken": true, "response without proof": true,
 	"server failure": true, "server refused": true, "decode failed": true, "stream broken": true,
 	"decode refused": true, "decode not reached": true, "prefill failed": true, "prefill refused": true, "prefill wasted": true,
+	"decode not offered": true, "stream of unknown software": true,
 }
 
 // processMessages are the messages about a process as a whole and its dependencies.
@@ -194,6 +195,7 @@
 var serverMessages = map[string]bool{
 	"server suspected": true, "server reached again": true, "server gone": true, "server registered": true,
 	"registration removed": true, "stage ordered": true, "server paused": true, "server replaced": true, "prefill results lapse early": true,
+	"server names a limit": true, "server names its limit no longer": true, "server says that it leaves": true, "server wants nothing for a while": true,
 }
 
 // Keys returns the names of a line's fields in alphabetical order, without the
--- a/internal/router/advice.go
+++ b/internal/router/advice.go
@@ -116,6 +116,26 @@
 	return wait, found
 }
 
+// maxAdviceLogged is the number of servers whose advice a log line tells.
+const maxAdviceLogged = 8
+
+// adviceOf tells what the servers of a stage of a service have said of themselves, for logs.
+func (f *fleet) adviceOf(service string, stage directory.Stage) []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var out []string
+	for _, s := range f.synced.Services[service] {
+		b := f.backends[s.ID]
+		if b == nil || s.Stage != stage || len(out) == maxAdviceLogged {
+			continue
+		}
+		if a := b.advice.Advice().String(); a != "" {
+			out = append(out, s.ID+": "+a)
+		}
+	}
+	return out
+}
+
 // closed reports whether the server wants nothing from this entry now.
 func (b *backend) closed() bool { return b.advice.Advice().ClosedFor(time.Now()) > 0 }
 
@@ -128,7 +148,8 @@
 
 // refuseWithheld returns the refusal of a call whose servers take no request of this entry
 // for a while.
-func (x *exchange) refuseWithheld(wait time.Duration) *apierror.Error {
+func (x *exchange) refuseWithheld(wait time.Duration, stage directory.Stage) *apierror.Error {
+	x.warn("refused before it was sent", "stage", stage, "closed_ms", wait.Milliseconds(), "advice", x.router.fleet.adviceOf(x.service, stage))
 	wait = max(wait, overloadedRetry)
 	wait += time.Duration(rand.Float64() * returnSpread * float64(wait))
 	return apierror.NotRun(apierror.KindOverloaded, "the servers of "+x.service+" take no more requests now", "retry after the delay").WithRetryAfter(wait)
@@ -139,8 +160,7 @@
 func (x *exchange) refuseClosed() *apierror.Error {
 	for _, stage := range []directory.Stage{directory.Prefill, directory.Decode} {
 		if wait, ok := x.router.fleet.withheld(x.service, stage); ok && wait > x.route.LatencyTarget-time.Since(x.call.Arrived) {
-			x.warn("refused before it was sent", "stage", stage, "closed_ms", wait.Milliseconds())
-			return x.refuseWithheld(wait)
+			return x.refuseWithheld(wait, stage)
 		}
 	}
 	return nil
--- a/internal/router/explained_test.go
+++ b/internal/router/explained_test.go
@@ -9,6 +9,7 @@
 	kitlog "github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/explain"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
 	"github.com/samphirestream/samphirestream/internal/logging"
@@ -111,3 +112,28 @@
 		is.Equal(suspected, 1)
 	})
 }
+
+// TestRefusalsByTheWordOfServersAreExplained checks that the log explains a refusal by what
+// the servers have said, to whom and how long ago.
+func TestRefusalsByTheWordOfServersAreExplained(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		var out bytes.Buffer
+		f = f.withLog(t, &out)
+		limit := 0.1
+		for i, n := range []advisory.Notice{{RetryAfter: 4 * time.Second}, {Limit: &limit, ToRequest: true}, {Limit: &limit, ToRequest: true, FromPeer: true}} {
+			n.Received = time.Now()
+			f.Observe(f.directory.Current().Servers[plainServers[i]], n)
+		}
+		time.Sleep(400 * time.Millisecond)
+		f.call(context.Background(), "/once/x")
+		timeline := trace(t, &out)
+		is.Equal(timeline.Outcome, "not_run")
+		is.Equal(timeline.Cause.Msg, "refused before it was sent")
+		is.Equal(timeline.Cause.Fields["advice"], []any{
+			"a1: wants nothing for 3600 ms",
+			"a2: takes 0.1 requests a second, said 400 ms ago to this entry",
+			"a3: takes 0.1 requests a second, said 400 ms ago to another entry",
+		})
+	})
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -78,7 +78,7 @@
 // noServer returns the refusal of a call that no server takes now.
 func (x *exchange) noServer() *apierror.Error {
 	if wait, ok := x.router.fleet.withheld(x.service, directory.Plain); ok {
-		return x.refuseWithheld(wait)
+		return x.refuseWithheld(wait, directory.Plain)
 	}
 	return apierror.NotRun(apierror.KindUnavailable, "no server of "+x.service+" is available", "retry after the delay").WithRetryAfter(unavailableRetry)
 }
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +23,11 @@
 	body     string
 	proof    string // the header Response-Seal
 	entry    int
+	sent     time.Time
+	// stream is the ID of the request that began the stream, and after the last event that
+	// the caller had; "" and 0 for other requests.
+	stream string
+	after  int
 }
 
 // callers send requests to the entries over persistent connections and store the
@@ -48,7 +55,13 @@
 		wg.Go(func() {
 			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
 			for ctx.Err() == nil {
-				c.call(rnd.IntN(len(c.fleet.entries)), paths[rnd.IntN(len(paths))])
+				r := c.call(rnd.IntN(len(c.fleet.entries)), paths[rnd.IntN(len(paths))])
+				for range maxTakeUps {
+					if !r.broken() {
+						break
+					}
+					r = c.takeUp(rnd.IntN(len(c.fleet.entries)), r)
+				}
 				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 			}
 		})
@@ -59,13 +72,29 @@
 // requestTimeout is the max time for which a caller waits for the whole response.
 const requestTimeout = 4 * time.Second
 
+// maxTakeUps is the number of times that a caller takes up a stream that broke off.
+const maxTakeUps = 2
+
+// broken reports whether a stream broke off that the caller may take up.
+func (r *result) broken() bool { return r.stream != "" && r.status == http.StatusOK && !r.complete }
+
+// takeUp sends a request that takes up the stream of a former one.
+func (c *callers) takeUp(entry int, former result) result {
+	return c.send(result{path: former.path, entry: entry, stream: former.stream, after: former.after + strings.Count(former.body, "id: ")})
+}
+
 // call sends one request and stores its result.
 func (c *callers) call(entry int, path string) result {
+	return c.send(result{path: path, entry: entry})
+}
+
+// send sends a request with the path, the entry and the stream of out, and stores its result.
+func (c *callers) send(out result) result {
 	c.mu.Lock()
 	c.next++
-	id := fmt.Sprintf("%s-%d", c.fleet.name, c.next)
+	out.id, out.sent = fmt.Sprintf("%s-%d", c.fleet.name, c.next), time.Now()
 	c.mu.Unlock()
-	out := result{id: id, path: path, entry: entry}
+	id, path, entry := out.id, out.path, out.entry
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.entries[entry].callers+path, strings.NewReader("body of "+id))
@@ -79,6 +108,13 @@
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
 		req.Header.Set("Token-Usage", "100,864")
 	}
+	switch {
+	case out.stream != "":
+		req.Header.Set("Resumes", out.stream)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(out.after))
+	case strings.HasPrefix(path, "/resumable"):
+		out.stream = id
+	}
 	resp, err := c.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
@@ -104,10 +140,50 @@
 			whole++
 		}
 	}
+	byID := map[string]result{}
+	for _, r := range c.results {
+		byID[r.id] = r
+	}
+	for _, server := range c.fleet.servers {
+		for _, broken := range judgeAdvice(server, byID, &c.fleet.disturbances) {
+			t.Error(broken)
+		}
+	}
+	for _, broken := range mixedStreams(c.results) {
+		t.Error(broken)
+	}
 	for _, l := range h.late {
 		t.Errorf("request %s: sent to a server that had drained", l)
 	}
-	t.Logf("%d requests, %d answered whole", len(c.results), whole)
+	t.Logf("%d requests, %d answered whole; %s", len(c.results), whole, takenUp(c.results))
+}
+
+// takenUp tells how many streams were taken up and went on.
+func takenUp(results []result) string {
+	n, wentOn := 0, 0
+	for _, r := range results {
+		if r.after == 0 {
+			continue
+		}
+		n++
+		if r.status == http.StatusOK {
+			wentOn++
+		}
+	}
+	return fmt.Sprintf("%d streams taken up, %d went on", n, wentOn)
+}
+
+// wholeStream returns the events of a complete answer, by the software that made the first.
+func wholeStream(r result) string {
+	software := ""
+	for v := range softwareOf(strings.SplitAfter(r.body, "\n\n")[0]) {
+		software = v
+	}
+	whole := ""
+	for k := r.after + 1; k <= eventCount; k++ {
+		whole += event(cmp.Or(r.stream, r.id), k, software)
+	}
+	return whole
 }
 
 // violations returns how a result breaks the invariants, given how often servers
@@ -130,10 +206,7 @@
 		out = append(out, "received "+r.body)
 	}
 	if r.status == http.StatusOK && stream {
-		whole := ""
-		for k := 1; k <= eventCount; k++ {
-			whole += event(r.id, k)
-		}
+		whole := wholeStream(r)
 		if !strings.HasPrefix(whole, r.body) || r.complete && r.body != whole {
 			out = append(out, "received the events "+r.body)
 		}
--- /dev/null
+++ b/test/soak/judge_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestJudgeFindsRequestsAgainstTheWordOfAServer plays arrivals that keep or break what a server
+// said.
+func TestJudgeFindsRequestsAgainstTheWordOfAServer(t *testing.T) {
+	start := time.Now()
+	type got struct {
+		seconds    float64
+		limit      float64
+		leaving    bool
+		retryAfter time.Duration
+	}
+	many := func(from, step float64, n int, g got) []got {
+		var out []got
+		for i := range n {
+			g.seconds = from + step*float64(i)
+			out = append(out, g)
+		}
+		return out
+	}
+	for name, tc := range map[string]struct {
+		arrivals  []got
+		disturbed float64 // when the entry was; 0: never
+		broken    bool
+	}{
+		"within the limit":       {many(0, 0.5, 40, got{limit: 2}), 0, false},
+		"above the limit":        {many(0, 0.1, 100, got{limit: 2}), 0, true},
+		"above it, entry killed": {many(0, 0.1, 50, got{limit: 2}), 2.5, false},
+		"leaving, at once":       {many(0, 0.5, 4, got{leaving: true}), 0, false},
+		"leaving, later":         {many(0, 1, 6, got{leaving: true}), 0, true},
+		"another life":           {append(many(0, 1, 2, got{leaving: true}), many(5, 1, 9, got{})...), 0, false},
+		"left alone":             {append(many(0, 0.1, 3, got{retryAfter: 4 * time.Second}), many(5, 0.1, 9, got{})...), 0, false},
+		"not left alone":         {many(0, 0.5, 9, got{retryAfter: 4 * time.Second}), 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+			s, results := &server{id: "s0"}, map[string]result{}
+			d := &disturbances{all: map[string][]time.Time{}}
+			if tc.disturbed > 0 {
+				d.all["entry1"] = []time.Time{at(tc.disturbed)}
+			}
+			for i, g := range tc.arrivals {
+				id := fmt.Sprint("r", i)
+				results[id] = result{id: id, entry: 1, sent: at(g.seconds)}
+				a := arrival{id: id, at: at(g.seconds), limit: g.limit, leaving: g.leaving, retryAfter: g.retryAfter}
+				if g.limit > 0 {
+					a.limitSince = start
+				}
+				s.advice.arrivals = append(s.advice.arrivals, a)
+			}
+			is.Equal(len(judgeAdvice(s, results, d)) > 0, tc.broken)
+		})
+	}
+}
+
+func TestMixedStreamsAreFound(t *testing.T) {
+	is := is.New(t)
+	first := result{id: "a", stream: "a", body: event("a", 1, "v1")}
+	is.Equal(len(mixedStreams([]result{first, {id: "b", stream: "a", after: 1, body: event("a", 2, "v1")}})), 0)
+	is.Equal(len(mixedStreams([]result{first, {id: "b", stream: "a", after: 1, body: event("a", 2, "v2")}})), 1)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -83,19 +83,20 @@
 
 // fleet holds the entries of one seed, with their backend servers and store.
 type fleet struct {
-	t       *testing.T
-	name    string
-	history *history
-	store   *store
-	servers []*server
-	entries []*entry
-	version int
+	t            *testing.T
+	name         string
+	history      *history
+	store        *store
+	servers      []*server
+	entries      []*entry
+	version      int
+	disturbances disturbances
 }
 
 // newFleet starts a fleet. Each seed has its own network of loopback addresses,
 // since all entries use the same ports.
 func newFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, name: fmt.Sprint("seed", seed), history: &history{runs: map[string]int{}}, store: newStore(t)}
+	f := &fleet{t: t, name: fmt.Sprint("seed", seed), history: &history{runs: map[string]int{}}, store: newStore(t), disturbances: disturbances{all: map[string][]time.Time{}}}
 	for i, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
 		f.addServer(fmt.Sprintf("s%d", i), stage)
 	}
@@ -224,8 +225,43 @@
 	for _, s := range f.servers {
 		links = append(links, s.link)
 	}
-	l, e, s := links[rnd.IntN(len(links))], f.entries[rnd.IntN(len(f.entries))], f.servers[rnd.IntN(len(f.servers))]
-	switch rnd.IntN(14) {
+	which := rnd.IntN(len(links))
+	l, e, s := links[which], f.entries[rnd.IntN(len(f.entries))], f.servers[rnd.IntN(len(f.servers))]
+	kind := rnd.IntN(18)
+	switch { // what is disturbed
+	case kind < 5 && which > 0:
+		name, end = f.linkFault(l, kind, rnd)
+		return f.disturbing(f.servers[which-1].id, name, end)
+	case kind < 5:
+		return f.linkFault(l, kind, rnd)
+	case kind < 9:
+		name, end = f.signalFault(e, kind)
+		return f.disturbing(e.name, name, end)
+	case kind >= 14:
+		return f.injectAdvice(rnd)
+	}
+	switch kind {
+	case 9:
+		f.store.Fail(standin.Faults{Status: http.StatusServiceUnavailable})
+		return "store unavailable", func() { f.store.Fail(standin.Faults{}) }
+	case 10:
+		f.store.Compact()
+		return "store compaction", nil
+	case 11:
+		f.configure()
+		return "configuration", nil
+	case 12:
+		s.setFlag(&s.refusing, true)
+		return "server refuses", func() { s.setFlag(&s.refusing, false) }
+	default:
+		s.setFlag(&s.losesAnswers, true)
+		return "answers lost", func() { s.setFlag(&s.losesAnswers, false) }
+	}
+}
+
+// linkFault injects a fault of a link.
+func (f *fleet) linkFault(l *link, kind int, rnd *rand.Rand) (name string, end func()) {
+	switch kind {
 	case 0:
 		l.setFaults(time.Duration(20+rnd.IntN(200))*time.Millisecond, false)
 		return "delay", l.heal
@@ -238,9 +274,15 @@
 	case 3:
 		l.blackholeOpen(true, rnd.IntN(2) == 0)
 		return "blackhole up", l.heal
-	case 4:
+	default:
 		l.blackholeOpen(false, true)
 		return "blackhole down", l.heal
+	}
+}
+
+// signalFault sends a signal to the process of an entry.
+func (f *fleet) signalFault(e *entry, kind int) (name string, end func()) {
+	switch kind {
 	case 5:
 		e.kill()
 		return "kill " + e.name, e.start
@@ -250,27 +292,21 @@
 	case 7:
 		e.signal(syscall.SIGTERM)
 		return "stop " + e.name, func() { e.restart() }
-	case 8:
+	default:
 		e.signal(syscall.SIGHUP)
 		return "SIGHUP " + e.name, nil
-	case 9:
-		f.store.Fail(standin.Faults{Status: http.StatusServiceUnavailable})
-		return "store unavailable", func() { f.store.Fail(standin.Faults{}) }
-	case 10:
-		f.store.Compact()
-		return "store compaction", nil
-	case 11:
-		f.configure()
-		return "configuration", nil
-	case 12:
-		s.setFlag(&s.refusing, true)
-		return "server refuses", func() { s.setFlag(&s.refusing, false) }
-	default:
-		s.setFlag(&s.losesAnswers, true)
-		return "answers lost", func() { s.setFlag(&s.losesAnswers, false) }
 	}
 }
 
+// disturbing records that a fault of an entry or a server begins, and its end.
+func (f *fleet) disturbing(what, name string, end func()) (string, func()) {
+	f.disturbances.add(what)
+	if end == nil {
+		return name, nil
+	}
+	return name, func() { end(); f.disturbances.add(what) }
+}
+
 func (s *server) setFlag(field *bool, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -319,6 +355,7 @@
 		o.end()
 	}
 	f.awaitReady()
+	f.adviceOnly(rnd)
 	cancel()
 	<-done
 	f.checkRecovery(c)
@@ -328,6 +365,37 @@
 	}
 }
 
+// maxAdvice is the number of statements of servers that hold at once while no other fault is
+// injected.
+const maxAdvice = 5
+
+// adviceOnly lets servers say things of themselves beside changes of the configuration and
+// SIGHUP, while no fault excuses an entry.
+func (f *fleet) adviceOnly(rnd *rand.Rand) {
+	var ends []func()
+	for until := time.Now().Add(*length + 2*stableWindow); time.Now().Before(until); time.Sleep(time.Duration(300+rnd.IntN(700)) * time.Millisecond) {
+		switch rnd.IntN(4) {
+		case 0:
+			f.configure()
+		case 1:
+			f.entries[rnd.IntN(len(f.entries))].signal(syscall.SIGHUP)
+		default:
+			name, end := f.injectAdvice(rnd)
+			f.t.Log("calm: ", name)
+			if end != nil {
+				ends = append(ends, end)
+			}
+			if len(ends) > maxAdvice {
+				ends[0]()
+				ends = ends[1:]
+			}
+		}
+	}
+	for _, end := range ends {
+		end()
+	}
+}
+
 // startDraining registers a server as draining.
 func (f *fleet) startDraining(s *server) {
 	s.mu.Lock()
@@ -410,7 +478,7 @@
 func TestViolationsFindsBrokenInvariants(t *testing.T) {
 	whole := ""
 	for k := 1; k <= eventCount; k++ {
-		whole += event("r", k)
+		whole += event("r", k, "v1")
 	}
 	correct := result{id: "r", path: "/stream/x", status: 200, complete: true, body: whole, proof: "seal-r"}
 	if v := violations(correct, 1); len(v) > 0 {
@@ -420,11 +488,12 @@
 		"ran twice":              func(*result) int { return 2 },
 		"false refusal":          func(r *result) int { r.status, r.proof = 503, ""; return 1 },
 		"another's proof":        func(r *result) int { r.proof = "seal-q"; return 1 },
-		"event missing":          func(r *result) int { r.body = event("r", 2); return 1 },
-		"truncated but complete": func(r *result) int { r.body = event("r", 1); return 1 },
+		"event missing":          func(r *result) int { r.body = event("r", 2, "v1"); return 1 },
+		"truncated but complete": func(r *result) int { r.body = event("r", 1, "v1"); return 1 },
 		"another's body":         func(r *result) int { r.path, r.body = "/once/x", plainAnswer("q", ""); return 1 },
 		"route not found":        func(r *result) int { r.status, r.proof = 404, ""; return 0 },
-		"event repeated":         func(r *result) int { r.body, r.complete = event("r", 1)+event("r", 1), false; return 1 },
+		"two versions":           func(r *result) int { r.body, r.complete = event("r", 1, "v1")+event("r", 2, "v2"), false; return 1 },
+		"event repeated":         func(r *result) int { r.body, r.complete = event("r", 1, "v1")+event("r", 1, "v1"), false; return 1 },
 	} {
 		r := correct
 		if len(violations(r, plant(&r))) == 0 {
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -41,8 +42,11 @@
 type server struct {
 	id, stage string
 	history   *history
-	http      *httptest.Server
-	link      *link
+	// software is the version that its registration names.
+	software string
+	advice   advice
+	http     *httptest.Server
+	link     *link
 
 	mu      sync.Mutex
 	handles map[string]string // handle to request ID
@@ -52,13 +56,21 @@
 	drainNoticedBy time.Time
 	// refusing makes the server refuse requests as not executed.
 	refusing bool
+	// breaksStreams makes the server close the connections of streams after some events.
+	breaksStreams bool
 	// losesAnswers makes the server close the connection without an answer after
 	// it ran a request.
 	losesAnswers bool
 }
 
+// lastDecode is the server whose software differs from that of the others.
+const lastDecode = "s7"
+
 func newServer(t *testing.T, h *history, id, stage string) *server {
-	s := &server{id: id, stage: stage, history: h, handles: map[string]string{}}
+	s := &server{id: id, stage: stage, history: h, software: "v1", advice: advice{born: 1}, handles: map[string]string{}}
+	if id == lastDecode {
+		s.software = "v2"
+	}
 	s.http = httptest.NewServer(s)
 	s.link = newLink(t, s.http.Listener.Addr().String())
 	return s
@@ -89,7 +101,7 @@
 	case r.Header.Get("Target-Instance") != s.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case refusing:
+	case s.advice.answer(w, id) || refusing:
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -151,13 +163,39 @@
 
 const eventCount = 12 // events of a streamed answer
 
-func event(id string, k int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", k, id, k) }
+// event returns one event of a stream.
+func event(stream string, k int, software string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\ndata: %s%s\n\n", k, stream, k, softwareField, software)
+}
+
+const softwareField = "software "
+
+// softwareOf returns the versions of software that made the events of a body.
+func softwareOf(body string) map[string]bool {
+	out := map[string]bool{}
+	for line := range strings.SplitSeq(body, "\n") {
+		if v, ok := strings.CutPrefix(line, "data: "+softwareField); ok {
+			out[v] = true
+		}
+	}
+	return out
+}
+
+// breakAfter is the number of events after which servers with breaksStreams break off.
+const breakAfter = 3
 
 func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent: from the start
 	w.Header().Set("Content-Type", "text/event-stream")
+	stream := cmp.Or(r.Header.Get("Resumes"), id)
 	for k := from + 1; k <= eventCount; k++ {
-		if _, err := io.WriteString(w, event(id, k)); err != nil || r.Context().Err() != nil {
+		s.mu.Lock()
+		breaks := s.breaksStreams
+		s.mu.Unlock()
+		if breaks && k > from+breakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, event(stream, k, s.software)); err != nil || r.Context().Err() != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
@@ -171,8 +209,10 @@
 	if s.stage != "" {
 		service = "llm"
 	}
+	s.advice.mu.Lock()
+	defer s.advice.mu.Unlock()
 	return map[string]any{
-		"service": service, "address": s.link.addr(), "zone": "dc", "slots": 8, "state": state, "stage": s.stage, "born": 1,
+		"service": service, "address": s.link.addr(), "zone": "dc", "slots": 8, "state": state, "stage": s.stage, "version": s.software, "born": s.advice.born,
 	}
 }
 
