Answers on the project's own ground go on only at the software that began them

Engines may name the version of their software in their answers; agents report it with their load, and the entry continues an answer that has begun only at servers of that version, apart from the queue, as on the users' platform. The record with which another entry takes an answer over holds the version. With the check switched off, TestAnswersGoOnOnlyAtTheSoftwareThatBeganThem fails. Where no engine names a version, nothing changes.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -30,6 +30,8 @@
 	// Limit is the number of requests a second that the server takes from all entries
 	// together; nil when the answer names none.
 	Limit *float64
+	// Software is the version of the server's software; "" if the answer does not name it.
+	Software string
 	// ToRequest is set in answers to requests of callers. Others, as to orders, may leave
 	// out a limit that holds.
 	ToRequest bool
@@ -59,6 +61,8 @@
 	// got it.
 	LimitHeard, LimitAsked time.Time
 	LimitFromPeer          bool
+	// Software is the version of the server's software; "" if it did not name it.
+	Software string
 }
 
 // Leaving reports whether the server leaves.
@@ -104,6 +108,9 @@
 	if until := n.Received.Add(n.RetryAfter); n.RetryAfter > 0 && until.After(a.ClosedUntil) {
 		a.ClosedUntil = until
 	}
+	if n.Software != "" {
+		a.Software = n.Software
+	}
 	switch newer := n.Sent.After(a.LimitHeard); {
 	case n.Limit != nil && (!a.Limited || newer || *n.Limit <= a.Limit):
 		if !a.Limited {
--- a/internal/advisory/parse.go
+++ b/internal/advisory/parse.go
@@ -16,6 +16,8 @@
 	Limit string
 	// Leaving is "1" when the server leaves.
 	Leaving string
+	// Software holds the version of the server's software; "" where answers do not name it.
+	Software string
 }
 
 // headerRetryAfter is, with status 503, the time in seconds for which the server wants
@@ -30,6 +32,9 @@
 // understood; the others are read all the same.
 func (h Headers) Parse(status int, header http.Header) (Notice, error) {
 	n := Notice{Leaving: header.Get(h.Leaving) == "1"}
+	if h.Software != "" {
+		n.Software = header.Get(h.Software)
+	}
 	var wrong []string
 	number := func(name string) (v float64, ok bool) {
 		text := header.Get(name)
--- a/internal/agent/advice.go
+++ b/internal/agent/advice.go
@@ -22,9 +22,9 @@
 		_ = level.Info(a.log).Log("msg", "backend server leaves no longer", "backend", a.cfg.Backend)
 	}
 	before, after := s.Record(n)
-	if after.Leaving() != before.Leaving() || after.Limited != before.Limited || after.Limit != before.Limit || after.ClosedUntil != before.ClosedUntil {
+	if after.Leaving() != before.Leaving() || after.Limited != before.Limited || after.Limit != before.Limit || after.ClosedUntil != before.ClosedUntil || after.Software != before.Software {
 		_ = level.Info(a.log).Log("msg", "backend server says of itself", "backend", a.cfg.Backend, "leaving", after.Leaving(),
-			"limited", after.Limited, "per_second", after.Limit, "closed_ms", after.ClosedFor(n.Received).Milliseconds())
+			"limited", after.Limited, "per_second", after.Limit, "software", after.Software, "closed_ms", after.ClosedFor(n.Received).Milliseconds())
 	}
 }
 
--- a/internal/agent/snapshot.go
+++ b/internal/agent/snapshot.go
@@ -56,7 +56,7 @@
 	l := s.Load
 	l.QueuedTokens = s.predictor.queuedTokens(a.uptime())
 	l.Draining = !a.lifecycle.Accepting() || a.leaving()
-	l.ClosedFor = a.closedFor()
+	l.ClosedFor, l.Software = a.closedFor(), a.advice.Load().Advice().Software
 	l.Note = a.store.Current().Number
 	return l
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -203,8 +203,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.releaseLocked(a)
-	w.pool.sched.Requeue(d.Now(), &w.job)
-	w.pool.addWaiting(w)
+	if w.request.MayDecode != nil {
+		w.pool.pinned = append(w.pool.pinned, w)
+	} else {
+		w.pool.sched.Requeue(d.Now(), &w.job)
+		w.pool.addWaiting(w)
+	}
 	w.pool.pump()
 }
 
--- a/internal/engine/notices.go
+++ b/internal/engine/notices.go
@@ -9,7 +9,7 @@
 
 // adviceHeaders are those in which engines and plain services say something of themselves,
 // beside Retry-After.
-var adviceHeaders = advisory.Headers{Limit: "Limit-Per-Second", Leaving: "Leaving"}
+var adviceHeaders = advisory.Headers{Limit: "Limit-Per-Second", Leaving: "Leaving", Software: "Software"}
 
 // Observer is called with what each answer says of the server. err is not nil if a header is
 // not understood.
--- a/internal/engine/notices_test.go
+++ b/internal/engine/notices_test.go
@@ -18,6 +18,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Limit-Per-Second", "2.5")
 		w.Header().Set("Leaving", "1")
+		w.Header().Set("Software", "v7")
 		w.Header().Set("Retry-After", "1.5")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
@@ -40,6 +41,7 @@
 	for _, n := range got {
 		is.Equal(*n.Limit, 2.5)
 		is.Equal(n.RetryAfter, 1500*time.Millisecond)
+		is.Equal(n.Software, "v7")
 		is.True(n.Leaving && !n.Sent.After(n.Received))
 	}
 }
--- a/internal/entry/agentconn.go
+++ b/internal/entry/agentconn.go
@@ -196,6 +196,14 @@
 	return leaseValid && !c.removed.Load() && !l.Draining && c.advice.Admits(time.Now(), advisory.Alone) && c.entry.available(c.server, l)
 }
 
+// software returns the version of the software of the agent's server; "" if unknown.
+func (c *agentConn) software() string {
+	if l := c.load.Load(); l != nil {
+		return l.Software
+	}
+	return ""
+}
+
 // call makes an RPC call and records the load in the reply. The error is an
 // *apierror.Error. A command that opens an attempt adds a reference to it
 // beforehand, which is removed again if the command fails.
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -380,3 +380,29 @@
 		})
 	}
 }
+
+// TestAnswersGoOnOnlyAtTheSoftwareThatBeganThem kills the engine of an answer whose only other
+// decode engine has the same, or another version of its software.
+func TestAnswersGoOnOnlyAtTheSoftwareThatBeganThem(t *testing.T) {
+	for other, goesOn := range map[string]bool{"v1": true, "v2": false} {
+		t.Run(other, func(t *testing.T) {
+			inVirtualTime(t, func(is *is.I, f *fleet) {
+				versions := map[string]string{"decode-1": "v1", "decode-2": other}
+				for name, software := range versions {
+					f.agents[name].agent.Observe(advisory.Notice{Software: software, Received: time.Now()}, nil)
+				}
+				time.Sleep(3 * testHeartbeat)
+				x := f.sendPrompt("entry-1", "q", true, nil)
+				time.Sleep(midAnswer)
+				for name := range versions {
+					if f.engines[name].heldRequests() > 0 {
+						f.engines[name].setState(true, false)
+					}
+				}
+				<-x.done
+				_, _, complete := x.streamed()
+				is.Equal(complete, goesOn)
+			})
+		})
+	}
+}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -26,6 +26,8 @@
 	// delivered are the tokens passed to out so far, or received by the caller on
 	// an earlier connection.
 	delivered []string
+	// software is the version of the engine's software that made delivered.
+	software string
 	// mayHaveRun is set when a server may have run a part of the request.
 	mayHaveRun bool
 	// failedServers holds the names of the servers at which an attempt failed. The
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/oklog/ulid/v2"
 
@@ -9,6 +10,7 @@
 	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/protocol"
+	"github.com/samphirestream/samphirestream/internal/release"
 )
 
 // maxPrefillReassignments is the maximum number of times that one attempt moves
@@ -18,7 +20,11 @@
 // reserve waits until the scheduler assigns servers to a job and the decode
 // server reserves memory for it.
 func (e *Entry) reserve(ctx context.Context, j *job) (*reservation, error) {
-	w, err := e.sched.Offer(j.dispatchJob())
+	offered := e.dispatchJob(j)
+	if offered.MayDecode != nil && !e.canContinue(j, offered.MayDecode) {
+		return nil, apierror.NotRun(apierror.KindUnavailable, "no server has the software that began the answer", "send the request again")
+	}
+	w, err := e.sched.Offer(offered)
 	if err != nil {
 		return nil, j.schedulerError(ctx, err)
 	}
@@ -40,6 +46,15 @@
 	}
 }
 
+// canContinue reports whether a usable decode server may continue the answer of a job.
+func (e *Entry) canContinue(j *job, mayDecode func(server string) bool) bool {
+	table := *e.fleet.table.Load()
+	return slices.ContainsFunc(e.store.Current().Pool(release.RoleDecode, j.model.Key()), func(b release.BackendServer) bool {
+		c, ok := table[b.Name]
+		return ok && c.usable() && mayDecode(b.Name)
+	})
+}
+
 // tryReserve requests a reservation from the assigned decode server.
 func (e *Entry) tryReserve(ctx context.Context, j *job, w *waiter, a assignment) (*reservation, error) {
 	at := e.newAttempt(j, w.BelowShare())
@@ -97,7 +112,7 @@
 // reassignPrefill chooses another prefill server after a refusal. It reports
 // false if there is none.
 func (e *Entry) reassignPrefill(j *job, res *reservation) bool {
-	c, maxWait, ok := e.sched.ReassignPrefill(j.dispatchJob(), j.use)
+	c, maxWait, ok := e.sched.ReassignPrefill(e.dispatchJob(j), j.use)
 	if ok {
 		res.prefill, res.maxWait = c, maxWait
 	}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -40,6 +40,8 @@
 	// Name and Version identify the model that serves the request.
 	Name    string `cbor:"10,keyasint"`
 	Version string `cbor:"11,keyasint"`
+	// Software is the version of the engine's software that began the answer.
+	Software string `cbor:"12,keyasint,omitempty"`
 }
 
 func newResumeRecord(j *job, in completionRequest, f format) resumeRecord {
@@ -62,7 +64,7 @@
 	return &job{
 		id: r.Request, provider: p, model: release.Model{Name: r.Name, Version: r.Version}, adapter: r.Adapter,
 		prompt: r.Prompt, promptTokens: len(strings.Fields(r.Prompt)), maxTokens: r.MaxTokens,
-		delivered: delivered, mayHaveRun: true, grace: r.Grace, record: r,
+		delivered: delivered, software: r.Software, mayHaveRun: true, grace: r.Grace, record: r,
 	}
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -125,7 +125,7 @@
 	}
 	res.decode.removeAttemptRef(res.attempt.ID)
 	if err == nil && !started {
-		e.sched.RecordAnswerLength(j.dispatchJob(), len(j.delivered))
+		e.sched.RecordAnswerLength(e.dispatchJob(j), len(j.delivered))
 	}
 	return reason, err
 }
@@ -159,6 +159,7 @@
 	var reply protocol.StartReply
 	args := protocol.StartArgs{Header: res.decode.header(ctx), Attempt: res.attempt, KV: kv}
 	if j.grace > 0 {
+		j.record.Software = res.decode.software()
 		args.Delivered, args.ResumeState = j.delivered, j.record.encode()
 	}
 	err = res.decode.call(ctx, protocol.ServiceDecode+".Start", args, &reply)
@@ -206,7 +207,7 @@
 	var reply protocol.PrefillReply
 	args := protocol.PrefillArgs{Header: c.header(ctx), Attempt: res.attempt, Prompt: j.prompt, Delivered: j.delivered, MaxWait: res.maxWait}
 	err := c.call(ctx, protocol.ServicePrefill+".Run", args, &reply)
-	e.sched.EndPrefill(j.dispatchJob(), c, j.use, prefillResult(j, &reply, err))
+	e.sched.EndPrefill(e.dispatchJob(j), c, j.use, prefillResult(j, &reply, err))
 	if err == nil || apierror.From(err).Outcome != apierror.OutcomeNotRun {
 		j.mayHaveRun = true
 	}
@@ -233,7 +234,7 @@
 			if err := j.out.write(tokens); err != nil {
 				return "", apierror.Unknown(apierror.KindBadRequest, "the caller is gone: "+err.Error(), "send the request again")
 			}
-			j.delivered = append(j.delivered, tokens...)
+			j.delivered, j.software = append(j.delivered, tokens...), res.decode.software()
 			e.count.tokens.Add(int64(len(tokens)))
 			pace.observe(len(tokens))
 		}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -75,16 +76,34 @@
 	})
 }
 
-// dispatchJob returns the job in the form that the scheduler takes.
-func (j *job) dispatchJob() *dispatch.Job {
+// dispatchJob returns the job in the form that the scheduler takes. An answer that has begun
+// goes on only at servers of the software that began it.
+func (e *Entry) dispatchJob(j *job) *dispatch.Job {
 	t, o := j.provider.Targets, j.provider.Objective
-	return &dispatch.Job{
+	out := &dispatch.Job{
 		Model: j.model.Key(), Provider: j.provider.Name, Weight: j.provider.Weight,
 		Goal:         admission.NewGoal(t.FirstToken, t.BetweenTokens, o.Goodput, o.WastedPrefill),
 		PromptTokens: j.promptTokens + len(j.delivered), MaxTokens: j.maxTokens,
 		Pieces:   protocol.Pieces(j.promptTokens + j.maxTokens),
 		Prefixes: j.prefixes, Urgent: j.urgent, FailedServers: j.failedServers,
 	}
+	if len(j.delivered) > 0 && e.otherSoftware(j) {
+		out.MayDecode = func(server string) bool {
+			c, ok := e.fleet.get(server)
+			return ok && c.software() == j.software
+		}
+	}
+	return out
+}
+
+// otherSoftware reports whether a decode server of a job's model has other software than
+// began its answer.
+func (e *Entry) otherSoftware(j *job) bool {
+	table := *e.fleet.table.Load()
+	return slices.ContainsFunc(e.store.Current().Pool(release.RoleDecode, j.model.Key()), func(b release.BackendServer) bool {
+		c, ok := table[b.Name]
+		return ok && c.software() != j.software
+	})
 }
 
 // schedulerError converts an error of Offer or Acquire. A refusal is final.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -50,6 +50,8 @@
 	// ClosedFor is the time for which the backend server takes nothing new, by what it has
 	// said of itself; 0 if it takes new work.
 	ClosedFor time.Duration `cbor:"8,keyasint,omitempty" json:"closed_for,omitempty"`
+	// Software is the version of the backend server's software; "" if it does not name it.
+	Software string `cbor:"9,keyasint,omitempty" json:"software,omitempty"`
 }
 
 // Status is the common part of all replies.
