--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -12,8 +12,6 @@
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
-	"github.com/samphirestream/samphirestream/internal/origin"
-	"github.com/samphirestream/samphirestream/internal/predict"
 	"github.com/samphirestream/samphirestream/internal/router"
 )
 
@@ -137,20 +135,13 @@
 	f.mu.Lock()
 	f.dirs = append(f.dirs, dir)
 	f.mu.Unlock()
-	var r *router.Router
-	x := loadexchange.New(n.Listen(addr(i)), loadexchange.Options{
-		Self: addr(i), Seeds: []string{addr(0)},
-		OnUsage:   func(server string, others []loadexchange.Usage) { r.SetRemoteUsage(server, others) },
-		OnSpeeds:  func(service string, others []predict.SpeedSums) { r.SetRemoteSpeeds(service, others) },
-		OnWaiting: func(pool string, waiting []loadexchange.Waiting) { r.SetRemoteWaiting(pool, waiting) },
-		OnOrigins: func(software string, streams []origin.Key) { r.SetRemoteOrigins(software, streams) },
-		Origin:    func(stream origin.Key) (string, bool) { return r.Origin(stream) },
-	}, f.options.Logger)
+	x := loadexchange.New(n.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, f.options.Logger)
 	b := f.options.Budget
-	r = router.New(dir, f.servers, router.Options{
+	r := router.New(dir, f.servers, router.Options{
 		DataCentre: dataCentre, MaxQueued: maxQueued, Peers: x,
 		Budget: router.BudgetOptions{Window: b.Window, Ratio: b.Ratio, Slack: b.Slack},
 	}, f.options.Logger)
+	x.SetHandler(r)
 	f.routers = append(f.routers, r)
 	for id, stage := range f.stages {
 		dir.Put(f.registration(id, stage))
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -67,25 +67,30 @@
 	Self string
 	// Seeds are addresses of some entries; they may be stale.
 	Seeds []string
-	// OnUsage is called with the use of a server by each of the peers that use it.
-	OnUsage func(server string, others []Usage)
-	// OnWaiting is called with the requests that wait for a pool at the peers.
-	OnWaiting func(pool string, waiting []Waiting)
 	// OnRegistry, if not nil, is called with the newest state of the registry that a peer
 	// has read.
 	OnRegistry func(at directory.Version)
-	// OnSpeeds is called with what the peers have observed of the speeds of a service.
-	OnSpeeds func(service string, others []predict.SpeedSums)
-	// OnOrigins is called with streams that a version of software began.
-	OnOrigins func(software string, streams []origin.Key)
+}
+
+// Handler receives what the peers report.
+type Handler interface {
+	// SetRemoteUsage is called with the use of a server by each of the peers that use it.
+	SetRemoteUsage(server string, others []Usage)
+	// SetRemoteWaiting is called with the requests that wait for a pool at the peers.
+	SetRemoteWaiting(pool string, waiting []Waiting)
+	// SetRemoteSpeeds is called with what the peers have observed of the speeds of a service.
+	SetRemoteSpeeds(service string, others []predict.SpeedSums)
+	// SetRemoteOrigins is called with streams that a version of software began.
+	SetRemoteOrigins(software string, streams []origin.Key)
 	// Origin returns the software that began a stream, if this entry knows it.
-	Origin func(stream origin.Key) (software string, ok bool)
+	Origin(stream origin.Key) (software string, ok bool)
 }
 
 // Exchange sends the load of one entry to its peers and receives theirs. It is safe
 // for concurrent use.
 type Exchange struct {
 	options     Options
+	handler     Handler
 	conn        Conn
 	log         log.Logger
 	incarnation int64 // see message
@@ -130,7 +135,10 @@
 	maxEntriesUntil time.Time
 }
 
-// New returns an exchange that sends nothing until Run is called.
+// SetHandler sets the receiver of what the peers report. It must be called before Run.
+func (x *Exchange) SetHandler(h Handler) { x.handler = h }
+
+// New returns an exchange that sends nothing until Run is called. It needs a handler then.
 func New(conn Conn, o Options, logger log.Logger) *Exchange {
 	return &Exchange{
 		options: o, conn: conn, log: logger, incarnation: time.Now().UnixMilli(), started: time.Now(), flush: make(chan struct{}, 1),
@@ -513,8 +521,8 @@
 	}
 }
 
-// apply records a message of a peer, adds the peers that it lists, and calls OnUsage
-// and OnWaiting.
+// apply records a message of a peer, adds the peers that it lists, and passes on
+// what it reports.
 func (x *Exchange) apply(from string, m *message, now time.Time) {
 	x.mu.Lock()
 	p, ok := x.peers[from]
@@ -564,7 +572,7 @@
 		x.notifySpeeds()
 	}
 	for software, streams := range m.Origins {
-		x.options.OnOrigins(software, streams)
+		x.handler.SetRemoteOrigins(software, streams)
 	}
 	x.answerOrigins(from, m.AskedOrigins)
 	if m.RegistryRevision > 0 && x.options.OnRegistry != nil {
@@ -572,7 +580,7 @@
 	}
 }
 
-// notifySpeeds calls OnSpeeds for each service that a peer has reported. The
+// notifySpeeds calls SetRemoteSpeeds for each service that a peer has reported. The
 // observations of a peer that timed out still count, since they tell about servers.
 func (x *Exchange) notifySpeeds() {
 	all := map[string][]predict.SpeedSums{}
@@ -584,11 +592,11 @@
 	}
 	x.mu.Unlock()
 	for service, others := range all {
-		x.options.OnSpeeds(service, others)
+		x.handler.SetRemoteSpeeds(service, others)
 	}
 }
 
-// notifyWaits calls OnWaiting for each pool that a peer has ever reported, with the
+// notifyWaits calls SetRemoteWaiting for each pool that a peer has ever reported, with the
 // requests that wait at all peers.
 func (x *Exchange) notifyWaits() {
 	all := map[string][]Waiting{}
@@ -603,7 +611,7 @@
 	}
 	x.mu.Unlock()
 	for pool, waiting := range all {
-		x.options.OnWaiting(pool, waiting)
+		x.handler.SetRemoteWaiting(pool, waiting)
 	}
 }
 
@@ -645,7 +653,7 @@
 	x.notifyWaits()
 }
 
-// notifyUsage calls OnUsage for some servers.
+// notifyUsage calls SetRemoteUsage for some servers.
 func (x *Exchange) notifyUsage(servers []string) {
 	for _, server := range servers {
 		var all []Usage
@@ -656,6 +664,6 @@
 			}
 		}
 		x.mu.Unlock()
-		x.options.OnUsage(server, all)
+		x.handler.SetRemoteUsage(server, all)
 	}
 }
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/predict"
 )
 
@@ -78,6 +79,7 @@
 // member is one exchange with the last state that its callbacks received.
 type member struct {
 	*Exchange
+	ignored
 	mu          sync.Mutex
 	calls       map[string]int
 	stageChange map[string]time.Time
@@ -89,32 +91,44 @@
 
 func (n *network) start(addr string, seeds ...string) *member {
 	m := &member{calls: map[string]int{}, stageChange: map[string]time.Time{}, unreachable: map[string]bool{}}
-	m.Exchange = New(n.listen(addr), Options{
-		Self: addr, Seeds: seeds,
-		OnUsage: func(server string, others []Usage) {
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			m.calls[server] = 0
-			delete(m.stageChange, server)
-			delete(m.unreachable, server)
-			for _, u := range others {
-				m.unreachable[server] = m.unreachable[server] || u.Unreachable
-				m.calls[server] += u.Calls
-				m.stageChange[server] = u.StageChangeUntil
-			}
-		},
-		OnWaiting: func(_ string, waiting []Waiting) {
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			m.waits = len(waiting)
-		},
-	}, log.NewNopLogger())
+	m.Exchange = New(n.listen(addr), Options{Self: addr, Seeds: seeds}, log.NewNopLogger())
+	m.SetHandler(m)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	go m.Run(ctx)
 	return m
 }
 
+// SetRemoteUsage implements Handler.
+func (m *member) SetRemoteUsage(server string, others []Usage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls[server] = 0
+	delete(m.stageChange, server)
+	delete(m.unreachable, server)
+	for _, u := range others {
+		m.unreachable[server] = m.unreachable[server] || u.Unreachable
+		m.calls[server] += u.Calls
+		m.stageChange[server] = u.StageChangeUntil
+	}
+}
+
+// SetRemoteWaiting implements Handler.
+func (m *member) SetRemoteWaiting(_ string, waiting []Waiting) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waits = len(waiting)
+}
+
+// ignored implements the parts of Handler that a test does not look at.
+type ignored struct{}
+
+func (ignored) SetRemoteUsage(string, []Usage)              {}
+func (ignored) SetRemoteWaiting(string, []Waiting)          {}
+func (ignored) SetRemoteSpeeds(string, []predict.SpeedSums) {}
+func (ignored) SetRemoteOrigins(string, []origin.Key)       {}
+func (ignored) Origin(origin.Key) (string, bool)            { return "", false }
+
 func (m *member) remoteCalls(server string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -349,23 +363,29 @@
 // TestFullMessagesHoldPresentAges checks the age of a run that full messages repeat
 // seconds after it began. With the age of the first message, receivers would
 // underestimate its memory, which grows with the age.
+// lastUsage keeps the last use that a peer reported.
+type lastUsage struct {
+	ignored
+	mu       sync.Mutex // guards received
+	received Usage
+}
+
+func (l *lastUsage) SetRemoteUsage(_ string, others []Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received = Usage{}
+	if len(others) > 0 {
+		l.received = others[0]
+	}
+}
+
 func TestFullMessagesHoldPresentAges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := &network{conns: map[string]*memoryConn{}}
-		var mu sync.Mutex
-		var received Usage
-		receiver := New(n.listen(b), Options{
-			Self: b, Seeds: []string{a}, OnWaiting: func(string, []Waiting) {},
-			OnUsage: func(_ string, others []Usage) {
-				mu.Lock()
-				defer mu.Unlock()
-				received = Usage{}
-				if len(others) > 0 {
-					received = others[0]
-				}
-			},
-		}, log.NewNopLogger())
+		var last lastUsage
+		receiver := New(n.listen(b), Options{Self: b, Seeds: []string{a}}, log.NewNopLogger())
+		receiver.SetHandler(&last)
 		ctx, cancel := context.WithCancel(context.Background())
 		go receiver.Run(ctx)
 		sender := n.start(a)
@@ -374,10 +394,10 @@
 			Runs: []Run{{Prompt: 1, Answer: 1, Began: time.Now()}}, StageChangeUntil: time.Now().Add(5 * time.Second),
 		}, true)
 		time.Sleep(3*fullInterval + batchDelay)
-		mu.Lock()
-		is.True(time.Since(received.Runs[0].Began) >= 2*time.Second)
-		is.True(time.Until(received.StageChangeUntil) <= 3*time.Second)
-		mu.Unlock()
+		last.mu.Lock()
+		is.True(time.Since(last.received.Runs[0].Began) >= 2*time.Second)
+		is.True(time.Until(last.received.StageChangeUntil) <= 3*time.Second)
+		last.mu.Unlock()
 		cancel()
 		sender.stop()
 		time.Sleep(time.Second)
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -29,7 +29,7 @@
 }
 
 // AskOrigin asks the peers that were probably told by which software a stream was begun.
-// Their answers go to Options.OnOrigins. It reports whether there is any such peer.
+// Their answers go to the handler. It reports whether there is any such peer.
 func (x *Exchange) AskOrigin(k origin.Key) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -97,7 +97,7 @@
 // answerOrigins answers a peer that asked by which software streams were begun.
 func (x *Exchange) answerOrigins(from string, asked []origin.Key) {
 	for _, k := range asked {
-		if software, ok := x.options.Origin(k); ok {
+		if software, ok := x.handler.Origin(k); ok {
 			x.mu.Lock()
 			x.tellLocked(from, k, software)
 			x.mu.Unlock()
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -13,8 +13,6 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/emulator"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
-	"github.com/samphirestream/samphirestream/internal/origin"
-	"github.com/samphirestream/samphirestream/internal/predict"
 	"github.com/samphirestream/samphirestream/internal/router"
 )
 
@@ -41,19 +39,12 @@
 		addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
 		for i := range entries {
 			d := newDirectory()
-			var r *router.Router
-			x := loadexchange.New(network.Listen(addr(i)), loadexchange.Options{
-				Self: addr(i), Seeds: []string{addr(0)},
-				OnUsage:   func(server string, others []loadexchange.Usage) { r.SetRemoteUsage(server, others) },
-				OnSpeeds:  func(service string, others []predict.SpeedSums) { r.SetRemoteSpeeds(service, others) },
-				OnWaiting: func(pool string, waiting []loadexchange.Waiting) { r.SetRemoteWaiting(pool, waiting) },
-				OnOrigins: func(software string, streams []origin.Key) { r.SetRemoteOrigins(software, streams) },
-				Origin:    func(stream origin.Key) (string, bool) { return r.Origin(stream) },
-			}, nopLogger)
+			x := loadexchange.New(network.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, nopLogger)
 			o := testOptions
 			o.Peers = x
-			r = router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
+			r := router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
 			g.entries, g.directories = append(g.entries, r), append(g.directories, d)
+			x.SetHandler(r)
 			own, stop := context.WithCancel(ctx)
 			g.stop = append(g.stop, stop)
 			background.Go(func() { x.Run(own) })
