Each version that began streams keeps a decode server

The holder of orders has one of two or more such servers decode, and does not order the last decode server of a version away while others serve. Versions that have begun no stream lately count for nothing, here and where the version of a stream is asked for. TestEachVersionThatBeganStreamsKeepsADecodeServer fails with the order switched off.

--- a/internal/directory/routes.go
+++ b/internal/directory/routes.go
@@ -30,6 +30,11 @@
 	return nil
 }
 
+// Serves reports whether requests of a route go to a service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s TrafficShare) bool { return s.Service == service })
+}
+
 // Service chooses the service of a request by the hash of its ID, so that the
 // services receive their shares of the requests on average. It returns "" for a route
 // without services.
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,8 +115,7 @@
 	out := time.Duration(0)
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		serves := slices.ContainsFunc(r.Shares, func(s directory.TrafficShare) bool { return s.Service == service.Name })
-		if t := target(r); serves && t > 0 && (out == 0 || t < out) {
+		if t := target(r); r.Serves(service.Name) && t > 0 && (out == 0 || t < out) {
 			out = t
 		}
 	}
@@ -142,7 +140,7 @@
 	speeds map[string]*predict.Speeds
 	lastID int32
 	synced *directory.Snapshot // of the last sync
-	// software holds the versions of software that servers of a service have or had, with
+	// software holds the versions of software that decode servers of a service have or had, with
 	// the time at which each was last seen. Those that were seen at syncedAt are present.
 	software map[string]map[string]time.Time
 	syncedAt time.Time
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -85,6 +85,12 @@
 			if time.Since(b.lastOrders) < orderInterval {
 				continue
 			}
+			if server := r.uncovered(name, streamTime(snap.Config, svc)); server != nil {
+				b.lastOrders = time.Now()
+				_ = level.Info(r.log).Log("msg", "no decode server has a version of software", "service", name, "software", server.server.Load().Software, "server", server.Name())
+				orders.Go(func() { r.reassign(ctx, holder, server, directory.Prefill, svc.Engine.StageChangeTime) })
+				continue
+			}
 			d := b.demand(svc.Engine, firstTokenTarget(snap.Config, svc))
 			n := prefills - d.bestSplit(prefills, decodes)
 			if !b.lasting(n, svc.Engine.StageChangeTime) {
@@ -213,8 +219,73 @@
 	time.AfterFunc(switchTime+switchMargin, func() { b.orderedLocally.Store(false); r.shareUsage(b) })
 }
 
+// minVersionServers is the number of servers of one version of software from which one of
+// them decodes while other versions serve too: the streams that the version began may go on
+// nowhere else.
+const minVersionServers = 2
+
+// coverage returns the number of decode servers that stay, by version of software.
+func coverage(decodes []*backend) map[string]int {
+	out, now := map[string]int{}, time.Now()
+	for _, b := range decodes {
+		if !b.leaving() && b.switchTimeLeft(now) == 0 {
+			out[b.server.Load().Software]++
+		}
+	}
+	return out
+}
+
+// streamTime returns the time for which streams of a service last at most.
+func streamTime(c *directory.Config, service *directory.Service) time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		if c.Routes[i].Serves(service.Name) {
+			longest = max(longest, c.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
+// uncovered returns the least used prefill server of a version of software that began
+// streams within a time and that no decode server has any longer; nil if there is no such
+// version, or there are too few prefill servers.
+func (r *Router) uncovered(service string, within time.Duration) *backend {
+	began := r.fleet.softwareWithin(service, within)
+	if len(began) <= 1 {
+		return nil
+	}
+	var found *backend
+	r.dispatch.VisitServers(service, func(_ time.Duration, prefills, decodes []*backend) {
+		now, covering, all, staying := time.Now(), coverage(decodes), map[string]int{}, 0
+		for _, b := range prefills {
+			switch {
+			case b.leaving():
+			case b.switchTimeLeft(now) > 0:
+				covering[b.server.Load().Software]++ // it will decode
+			default:
+				staying++
+				all[b.server.Load().Software]++
+			}
+		}
+		if staying <= minStageServers {
+			return
+		}
+		for _, b := range prefills {
+			software := b.server.Load().Software
+			if b.view.Unavailable || covering[software] > 0 || all[software] < minVersionServers || !slices.Contains(began, software) {
+				continue
+			}
+			if found == nil || b.view.PrefillTokens() < found.view.PrefillTokens() {
+				found = b
+			}
+		}
+	})
+	return found
+}
+
 // leastUsed returns up to n servers of a stage that take work and have the fewest
-// prefill tokens and slots in use.
+// prefill tokens and slots in use, but not the last decode server of a version of software
+// beside others.
 func (r *Router) leastUsed(service string, stage directory.Stage, n int) []*backend {
 	var found []*backend
 	use := map[*backend]int{}
@@ -223,8 +294,10 @@
 		if stage == directory.Decode {
 			servers = decodes
 		}
+		covering := coverage(decodes)
 		for _, b := range servers {
-			if !b.view.Unavailable {
+			last := stage == directory.Decode && len(covering) > 1 && covering[b.server.Load().Software] == 1
+			if !b.view.Unavailable && !last {
 				found = append(found, b)
 				use[b] = b.view.PrefillTokens() + b.view.SlotsUsed()
 			}
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -96,8 +96,8 @@
 	return b != nil && (!x.begun || b.server.Load().Software == x.software)
 }
 
-// softwareWithin returns the versions of software that servers of a service have, or had
-// within a time.
+// softwareWithin returns the versions of software that decode servers of a service have, or
+// had within a time. Others have begun no streams that still run.
 func (f *fleet) softwareWithin(service string, d time.Duration) []string {
 	f.sync()
 	f.mu.RLock()
@@ -116,7 +116,7 @@
 // is left. It is longer than streams last.
 const softwareTTL = origin.Retention
 
-// recordSoftwareLocked records the versions of software of the servers in a snapshot.
+// recordSoftwareLocked records the versions of software of the decode servers in a snapshot.
 func (f *fleet) recordSoftwareLocked(snap *directory.Snapshot, now time.Time) {
 	if f.synced != nil {
 		// The versions of the former snapshot were there until now.
@@ -141,7 +141,7 @@
 			f.software[service] = versions
 		}
 		for _, s := range list {
-			if s.Stage != directory.Plain {
+			if s.Stage == directory.Decode {
 				versions[s.Software] = at
 			}
 		}
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -348,3 +348,43 @@
 		is.True(!a.aborted)
 	})
 }
+
+// TestEachVersionThatBeganStreamsKeepsADecodeServer takes all decode servers of one version
+// away. One of its prefill servers is ordered to decode, and none of a version that has begun
+// no stream.
+func TestEachVersionThatBeganStreamsKeepsADecodeServer(t *testing.T) {
+	for name, tc := range map[string]struct {
+		versions map[string]string
+		orders   int
+	}{
+		"a version loses its decode servers": {map[string]string{"p1": "v1", "p2": "v1", "p3": "v1", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v2"}, 1},
+		"a version has begun no streams":     {map[string]string{"p1": "v1", "p2": "v1", "p3": "v2", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v1"}, 0},
+		"one server of the version is left":  {map[string]string{"p1": "v1", "p2": "v2", "p3": "v2", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v2"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, 1, func(t *testing.T, g *region) {
+				is := is.New(t)
+				for _, id := range []string{"p3", "p4"} {
+					g.directories[0].Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+				}
+				g.setSoftware(tc.versions)
+				ctx, cancel := context.WithCancel(context.Background())
+				balanced := make(chan struct{})
+				go func() { g.entries[0].Balance(ctx, "holder"); close(balanced) }()
+				time.Sleep(3 * time.Second)
+				is.Equal(len(g.servers.recorded()), 0)
+				g.directories[0].Remove("d1", 0)
+				g.directories[0].Remove("d2", 0)
+				time.Sleep(5 * time.Second)
+				cancel()
+				<-balanced
+				is.Equal(len(g.servers.recorded()), tc.orders)
+				for _, order := range g.servers.recorded() {
+					server := strings.Fields(order)[1]
+					is.Equal(tc.versions[server], "v1")
+					is.True(strings.HasPrefix(server, "p"))
+				}
+			})
+		})
+	}
+}
