--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -77,13 +77,26 @@
 	is.New(t).Equal(EntryShare(0, 0, 5), minRate) // an end of the limit is heard of
 }
 
+// TestLimitsOfWhichNothingIsHeardEnd guards against an entry without a share that missed the
+// end of a limit and would never send to the server again.
+func TestLimitsOfWhichNothingIsHeardEnd(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	s.Record(notice(0, 1, limit(0.5)))
+	none := func(float64) float64 { return 0 }
+	is.True(!s.Admits(start.Add(limitTTL), none))
+	is.True(s.Admits(start.Add(2*limitTTL), none))
+	s.Record(notice(200, 201, limit(0.5)))
+	is.True(!s.Admits(start.Add(202*time.Second), none))
+}
+
 func TestQuietTimeSavesUpLittle(t *testing.T) {
 	is := is.New(t)
 	s := &State{}
 	s.Record(notice(0, 1, limit(2)))
 	whole := func(l float64) float64 { return EntryShare(l, 0, 1) }
 	is.True(!s.Take(start.Add(time.Second), whole)) // starts empty
-	now := start.Add(time.Hour)
+	now := start.Add(limitTTL)
 	is.True(s.Admits(now, whole))
 	is.True(s.Take(now, whole))
 	is.True(!s.Take(now, whole))
--- a/internal/advisory/limit.go
+++ b/internal/advisory/limit.go
@@ -14,6 +14,9 @@
 	// minRate is the number of requests a second that all entries together send to a server
 	// with a lower limit. Without them no entry would hear that the limit has ended.
 	minRate = 0.25
+	// limitTTL is the time without word of a limit after which it is taken to have ended. An
+	// entry without a share hears of it from others only, and may have missed the end.
+	limitTTL = time.Minute
 	// burstTime is the time for which an entry may save up its share.
 	burstTime = 250 * time.Millisecond
 )
@@ -30,6 +33,11 @@
 	return max(limit, minRate) / senders
 }
 
+// limitHolds reports whether the server has a limit, as far as is known.
+func (a Advice) limitHolds(now time.Time) bool {
+	return a.Limited && now.Sub(a.LimitHeard) <= limitTTL
+}
+
 // bucket is a token bucket. It starts empty.
 type bucket struct {
 	tokens float64
@@ -59,7 +67,7 @@
 	if a.ClosedFor(now) > 0 {
 		return false
 	}
-	if !a.Limited {
+	if !a.limitHolds(now) {
 		return true
 	}
 	rate := share(a.Limit)
@@ -78,7 +86,7 @@
 func (s *State) Wait(now time.Time, share func(limit float64) float64) (time.Duration, bool) {
 	a := s.Advice()
 	wait := a.ClosedFor(now)
-	if !a.Limited {
+	if !a.limitHolds(now) {
 		return wait, true
 	}
 	rate := share(a.Limit)
