What a server says after it was idle is read by those who choose

Found while reading the change: states of boots are forgotten after ten minutes without an answer, and a registration kept the forgotten one, while later answers were recorded in a new one. TestAdviceOfAnIdleServerIsStillRead failed before.

--- a/internal/router/advice.go
+++ b/internal/router/advice.go
@@ -28,7 +28,7 @@
 
 // record records a notice and reports whether it changed what is known of the server.
 func (r *Router) record(at *directory.Server, n advisory.Notice) bool {
-	before, after := r.fleet.advice.State(bootOf(at)).Record(n)
+	before, after := r.fleet.adviceFor(at).Record(n)
 	logger := level.Info(r.log)
 	if after.Leaving() && !before.Leaving() {
 		_ = logger.Log("msg", "server says that it leaves", "server", at.ID, "service", at.Service, "boot", at.Started, "from_peer", n.FromPeer)
@@ -47,6 +47,14 @@
 	return true
 }
 
+// adviceFor returns what the boot of a registration has said of itself.
+func (f *fleet) adviceFor(at *directory.Server) *advisory.State {
+	if b := f.get(at.ID); b != nil && bootOf(b.server.Load()) == bootOf(at) {
+		return b.advice
+	}
+	return f.advice.State(bootOf(at))
+}
+
 // recordRemoteAdvice records what a server said of itself to another entry.
 func (r *Router) recordRemoteAdvice(at *directory.Server, u loadexchange.Usage) {
 	if !u.LeavingSince.IsZero() {
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -132,3 +132,19 @@
 		is.Equal(a.body.String(), stream)
 	})
 }
+
+// TestAdviceOfAnIdleServerIsStillRead has a server say something after it was idle for so long
+// that states without a registration are forgotten.
+func TestAdviceOfAnIdleServerIsStillRead(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.call(context.Background(), "/once/x")
+		time.Sleep(time.Hour)
+		f.directory.Put(&directory.Server{ID: "a4", Service: "app", Slots: 6, DataCentre: "dc"})
+		f.call(context.Background(), "/once/x") // states are pruned
+		f.Observe(f.directory.Current().Servers["a1"], advisory.Notice{Leaving: true, Received: time.Now()})
+		for _, s := range f.Snapshot().Servers {
+			is.Equal(s.Draining, s.ID == "a1")
+		}
+	})
+}
