--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -3,6 +3,7 @@
 // servers observe.
 //
 //	go test ./test/soak -soak.seeds 50 -soak.first 1 -parallel 4
+//	go test ./test/soak -soak.seeds 1 -soak.first 1 -soak.entries 100
 package soak
 
 import (
@@ -23,9 +24,10 @@
 )
 
 var (
-	seeds  = flag.Int("soak.seeds", 2, "number of seeds")
-	first  = flag.Uint64("soak.first", 1, "first seed")
-	length = flag.Duration("soak.length", 6*time.Second, "time of faults for each seed")
+	seeds      = flag.Int("soak.seeds", 2, "number of seeds")
+	first      = flag.Uint64("soak.first", 1, "first seed")
+	entryCount = flag.Int("soak.entries", 3, "number of entries of each seed, at most 250")
+	length     = flag.Duration("soak.length", 6*time.Second, "time of faults for each seed")
 )
 
 // failedSeeds are seeds that failed in the past, each with the cause. They always
@@ -35,7 +37,6 @@
 }
 
 const (
-	entryCount   = 3
 	callerCount  = 24
 	drainTimeout = 2 * time.Second // the setting bounds.drain_ms
 	gracePeriod  = 8 * time.Second // the setting bounds.grace_s
@@ -102,7 +103,7 @@
 	}
 	f.configure()
 	net := fmt.Sprintf("127.%d.%d.", 1+seed/200%100, 1+seed%200)
-	for i := range entryCount {
+	for i := range *entryCount {
 		e := &entry{fleet: f, name: fmt.Sprint("entry", i), ip: fmt.Sprint(net, i+1)}
 		e.callers, e.ready = fmt.Sprint(e.ip, ":", callersPort), fmt.Sprint(e.ip, ":", readyPort)
 		e.settingsFile = filepath.Join(t.TempDir(), e.name+".toml")
