--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -17,6 +17,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/router"
+	"github.com/samphirestream/samphirestream/internal/sleep"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
 
@@ -178,14 +179,10 @@
 
 // sleepUntil waits until a time or the end of ctx.
 func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !sleep.WithContext(ctx, time.Until(at)) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // servers implements router.Servers on emulated servers.
