entry: one look at the connected servers of a pool

The check for other software, the check for a server that may continue an answer, and the list of a pool each joined the release note's servers with the table of connections.

--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/oklog/ulid/v2"
 
@@ -10,7 +9,6 @@
 	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/protocol"
-	"github.com/samphirestream/samphirestream/internal/release"
 )
 
 // maxPrefillReassignments is the maximum number of times that one attempt moves
@@ -21,7 +19,7 @@
 // server reserves memory for it.
 func (e *Entry) reserve(ctx context.Context, j *job) (*reservation, error) {
 	offered := e.dispatchJob(j)
-	if offered.MayDecode != nil && !e.canContinue(j, offered.MayDecode) {
+	if offered.MayDecode != nil && !e.canContinue(j) {
 		return nil, apierror.NotRun(apierror.KindUnavailable, "no server has the software that began the answer", "send the request again")
 	}
 	w, err := e.sched.Offer(offered)
@@ -46,15 +44,6 @@
 	}
 }
 
-// canContinue reports whether a usable decode server may continue the answer of a job.
-func (e *Entry) canContinue(j *job, mayDecode func(server string) bool) bool {
-	table := *e.fleet.table.Load()
-	return slices.ContainsFunc(e.store.Current().Pool(release.RoleDecode, j.model.Key()), func(b release.BackendServer) bool {
-		c, ok := table[b.Name]
-		return ok && c.usable() && mayDecode(b.Name)
-	})
-}
-
 // tryReserve requests a reservation from the assigned decode server.
 func (e *Entry) tryReserve(ctx context.Context, j *job, w *waiter, a assignment) (*reservation, error) {
 	at := e.newAttempt(j, w.BelowShare())
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -52,10 +52,19 @@
 // pool appends the connected servers of a role and model to out. It updates
 // Unavailable in the view of each.
 func (f agentFleet) pool(role release.Role, model string, out []*agentConn) []*agentConn {
+	first := len(out)
+	out = f.connected(role, model, out)
+	for _, c := range out[first:] {
+		c.view.Unavailable = !c.usable()
+	}
+	return out
+}
+
+// connected appends the connected servers of a role and model to out.
+func (f agentFleet) connected(role release.Role, model string, out []*agentConn) []*agentConn {
 	table := *f.entry.fleet.table.Load()
 	for _, b := range f.entry.store.Current().Pool(role, model) {
 		if c, ok := table[b.Name]; ok {
-			c.view.Unavailable = !c.usable()
 			out = append(out, c)
 		}
 	}
@@ -99,11 +108,19 @@
 // otherSoftware reports whether a decode server of a job's model has other software than
 // began its answer.
 func (e *Entry) otherSoftware(j *job) bool {
-	table := *e.fleet.table.Load()
-	return slices.ContainsFunc(e.store.Current().Pool(release.RoleDecode, j.model.Key()), func(b release.BackendServer) bool {
-		c, ok := table[b.Name]
-		return ok && c.software() != j.software
-	})
+	return e.anyDecodeServer(j, func(c *agentConn) bool { return c.software() != j.software })
+}
+
+// canContinue reports whether a usable decode server has the software that began the answer
+// of a job.
+func (e *Entry) canContinue(j *job) bool {
+	return e.anyDecodeServer(j, func(c *agentConn) bool { return c.usable() && c.software() == j.software })
+}
+
+// anyDecodeServer reports whether a connected decode server of a job's model meets a
+// condition.
+func (e *Entry) anyDecodeServer(j *job, meets func(c *agentConn) bool) bool {
+	return slices.ContainsFunc(agentFleet{e}.connected(release.RoleDecode, j.model.Key(), nil), meets)
 }
 
 // schedulerError converts an error of Offer or Acquire. A refusal is final.
