experiment: says when the machine could not keep up

The command's test plays a load that a busy machine carries too and asks for the exact number of requests on time, where it asked for a first digit; another asks for the new failure. Emulators in virtual time must have a slowdown of exactly 1.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -83,7 +83,9 @@
 	}
 	for name, text := range map[string]string{
 		"engine.yaml": string(experiment), "idle.yaml": strings.Replace(string(experiment), "slots: 16", "slots: 0", 1),
-		"1.yaml": note1, "2.yaml": note2, "front.log": frontLog,
+		"exact.yaml": strings.Replace(string(experiment), "max_slowdown: 100", "max_slowdown: 1", 1),
+		"fast.yaml":  strings.Replace(string(experiment), "max_slowdown: 100", "max_slowdown: 0.9", 1),
+		"1.yaml":     note1, "2.yaml": note2, "front.log": frontLog,
 		"node.toml": platformSettings, "bad.toml": strings.Replace(platformSettings, ", grace_s = 8", "", 1),
 		"typo.yaml":  strings.Replace(note1, "window_tokens", "window", 1),
 		"wrong.yaml": strings.Replace(note2, "name: s1", "name: s9", 1),
@@ -151,8 +153,10 @@
 		{"experiment @idle.yaml", ExitInvalid, "", "idle.yaml: engine.slots: 0 is not possible"},
 		{"experiment @1.yaml", ExitInvalid, "", "unknown key"},
 		{"experiment -plot @plot.xyz @engine.yaml", ExitFailure, "", "xyz"},
+		{"experiment @fast.yaml", ExitInvalid, "", "fast.yaml: max_slowdown: 0.9 is not possible"},
+		{"experiment @exact.yaml", ExitFailure, "on time", "the machine could not keep up"},
 		{"experiment @engine.yaml", ExitOK, "on time", ""},
-		{"experiment -json -plot @plot.svg @engine.yaml", ExitOK, `"on_time": 2`, ""},
+		{"experiment -json -plot @plot.svg @engine.yaml", ExitOK, `"on_time": 19,`, ""},
 		{"note check @1.yaml", ExitOK, "valid: note 1", ""},
 		{"note check @1.yaml @2.yaml", ExitOK, "warning: model reader@1 has 0 prefill and 2 decode servers", ""},
 		{"note check -fold @1.yaml @2.yaml", ExitOK, "valid: note 2", ""},
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -26,6 +26,7 @@
 		time.Sleep(10 * time.Second) // timers of the entries end
 	})
 	t.Logf("%+v", r)
+	is.New(t).Equal(r.Slowdown, 1.0)
 	return r
 }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -17,7 +17,6 @@
 
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/router"
-	"github.com/samphirestream/samphirestream/internal/sleep"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
 
@@ -51,6 +50,7 @@
 // server is one emulated model server.
 type server struct {
 	engine *Engine
+	clock  *clock
 	id     string
 
 	mu    sync.Mutex // guards the fields below
@@ -69,8 +69,8 @@
 	preempted bool
 }
 
-func newServer(e *Engine, id string, stage directory.Stage) *server {
-	return &server{engine: e, id: id, stage: stage, changed: make(chan struct{})}
+func newServer(e *Engine, c *clock, id string, stage directory.Stage) *server {
+	return &server{engine: e, clock: c, id: id, stage: stage, changed: make(chan struct{})}
 }
 
 // usedLocked returns the memory in use in tokens.
@@ -104,7 +104,7 @@
 	s.freeAt = begin.Add(s.engine.PrefillSetup + s.engine.prefillTime(tokens))
 	end := s.freeAt
 	s.mu.Unlock()
-	return true, sleepUntil(ctx, end)
+	return true, s.clock.sleepUntil(ctx, end)
 }
 
 func (e *Engine) prefillTime(tokens int) time.Duration {
@@ -138,7 +138,7 @@
 	s.mu.Lock()
 	took := time.Duration(tokens) * (s.engine.Step + time.Duration(len(s.runs))*s.engine.StepPerSlot)
 	s.mu.Unlock()
-	if err := sleepUntil(ctx, time.Now().Add(took)); err != nil {
+	if err := s.clock.sleepUntil(ctx, time.Now().Add(took)); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -177,14 +177,6 @@
 	})
 }
 
-// sleepUntil waits until a time or the end of ctx.
-func sleepUntil(ctx context.Context, at time.Time) error {
-	if !sleep.WithContext(ctx, time.Until(at)) {
-		return ctx.Err()
-	}
-	return nil
-}
-
 // servers implements router.Servers on emulated servers.
 type servers struct {
 	fleet *Fleet
@@ -204,7 +196,7 @@
 // Prefill implements router.Servers.
 func (s *servers) Prefill(ctx context.Context, o *router.OutgoingCall) (*router.Handle, *router.Reply, error) {
 	at := s.byID[o.Server.ID]
-	if err := sleepUntil(ctx, time.Now().Add(at.engine.Latency)); err != nil {
+	if err := at.clock.sleepUntil(ctx, time.Now().Add(at.engine.Latency)); err != nil {
 		return nil, nil, errUnanswered(err)
 	}
 	accepted, err := at.prefill(ctx, o.Call.PromptTokens)
@@ -217,7 +209,7 @@
 	}
 	created := time.Now()
 	s.fleet.count(func(r *Result) { r.Prefills++; r.PrefilledTokens += o.Call.PromptTokens })
-	if err := sleepUntil(ctx, created.Add(at.engine.Latency)); err != nil {
+	if err := at.clock.sleepUntil(ctx, created.Add(at.engine.Latency)); err != nil {
 		return nil, nil, errUnanswered(err)
 	}
 	return &router.Handle{ID: o.Call.ID, Server: o.Server, Tokens: o.Call.PromptTokens, CreatedAt: time.Now()}, &router.Reply{Status: http.StatusOK, Body: http.NoBody}, nil
@@ -226,7 +218,7 @@
 // Call implements router.Servers.
 func (s *servers) Call(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 	at := s.byID[o.Server.ID]
-	if err := sleepUntil(ctx, time.Now().Add(at.engine.Latency)); err != nil {
+	if err := at.clock.sleepUntil(ctx, time.Now().Add(at.engine.Latency)); err != nil {
 		return nil, errUnanswered(err)
 	}
 	if time.Since(o.Source.CreatedAt) > at.engine.HandleTTL {
@@ -269,7 +261,8 @@
 
 // Probe implements router.Servers.
 func (s *servers) Probe(ctx context.Context, to *directory.Server) error {
-	return errors.Trace(sleepUntil(ctx, time.Now().Add(2*s.byID[to.ID].engine.Latency)))
+	at := s.byID[to.ID]
+	return errors.Trace(at.clock.sleepUntil(ctx, time.Now().Add(2*at.engine.Latency)))
 }
 
 // Order implements router.Servers.
--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync"
 
 	"github.com/juju/errors"
@@ -21,12 +22,18 @@
 	Seed    uint64 `yaml:"seed"`
 	// Loads are fractions of the servers that the requests need, for prefill and decode
 	// together; they set the rate of requests. Without loads, Load.PerSecond does.
-	Loads  []float64 `yaml:"loads"`
-	Engine Engine    `yaml:"engine"`
-	Load   Load      `yaml:"load"`
-	Budget Budget    `yaml:"budget"`
+	Loads []float64 `yaml:"loads"`
+	// MaxSlowdown is the largest Result.Slowdown of a valid outcome, defaultMaxSlowdown
+	// when it is 0.
+	MaxSlowdown float64 `yaml:"max_slowdown"`
+
+	Engine Engine `yaml:"engine"`
+	Load   Load   `yaml:"load"`
+	Budget Budget `yaml:"budget"`
 }
 
+const defaultMaxSlowdown = 1.1
+
 // LoadExperiment reads an experiment from a YAML file. Errors about its content are
 // strictyaml.Problems.
 func LoadExperiment(file string) (*Experiment, error) {
@@ -65,6 +72,9 @@
 	positive("load.first_token", float64(l.FirstToken))
 	positive("load.deadline", float64(l.Deadline))
 	positive("load.duration", float64(l.Duration-l.WarmUp))
+	if x.MaxSlowdown != 0 && x.MaxSlowdown < 1 {
+		ps.Add("max_slowdown", "give 1 or more", "%g is not possible", x.MaxSlowdown)
+	}
 	if len(x.Loads) == 0 {
 		positive("load.per_second", l.PerSecond)
 	}
@@ -108,6 +118,16 @@
 	return out
 }
 
+// KeptUp reports whether the machine was fast enough for the outcomes of an experiment to be
+// valid. At a slowdown of 1.1 a load is a tenth higher than it says.
+func (x *Experiment) KeptUp(outcomes []Outcome) bool {
+	limit := x.MaxSlowdown
+	if limit == 0 {
+		limit = defaultMaxSlowdown
+	}
+	return !slices.ContainsFunc(outcomes, func(o Outcome) bool { return o.Slowdown > limit })
+}
+
 // RateAt returns the number of requests a second that need a fraction of the servers.
 func RateAt(e *Engine, l *Load, fraction float64) float64 {
 	prefill, decode := Demand(e, l)
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
 	"github.com/samphirestream/samphirestream/internal/router"
+	"github.com/samphirestream/samphirestream/internal/sleep"
 )
 
 // Options configure a fleet.
@@ -53,6 +54,9 @@
 	RefusedDecodes int `json:"refused_decodes"`
 	// Orders are the changes of stage.
 	Orders int `json:"orders"`
+	// Slowdown is the time that the servers' work took relative to the time that Engine
+	// describes: 1, and more on a machine that can not keep up.
+	Slowdown float64 `json:"slowdown"`
 }
 
 // Fleet is a set of entries in front of emulated servers.
@@ -61,6 +65,7 @@
 	routers []*router.Router
 	dirs    []*directory.Directory
 	servers *servers
+	clock   clock
 
 	mu      sync.Mutex // guards the fields below
 	began   time.Time  // of the load
@@ -90,7 +95,7 @@
 		if i < o.Engine.PrefillServers {
 			stage = directory.Prefill
 		}
-		f.servers.byID[id] = newServer(&f.options.Engine, id, stage)
+		f.servers.byID[id] = newServer(&f.options.Engine, &f.clock, id, stage)
 		f.stages[id] = stage
 	}
 	return f
@@ -112,7 +117,7 @@
 	f.began = began
 	f.mu.Unlock()
 	for n, r := range f.options.requests() {
-		if sleepUntil(ctx, began.Add(r.at)) != nil {
+		if !sleep.WithContext(ctx, time.Until(began.Add(r.at))) {
 			break
 		}
 		call := f.newCall(r, n)
@@ -124,6 +129,7 @@
 	background.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.result.Slowdown = f.clock.slowdown()
 	return f.result
 }
 
