--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -36,10 +36,9 @@
 	// IsEngine is set when the backend server is a model engine.
 	IsEngine bool
 	// BackendURL is the base URL of the engine or plain service.
-	BackendURL        string
-	LeaseDuration     time.Duration
-	HeartbeatInterval time.Duration
-	TicketKey         []byte
+	BackendURL    string
+	LeaseDuration time.Duration
+	TicketKey     []byte
 	// Client and Service, if set, replace the HTTP clients for the backend server.
 	Client  Engine
 	Service Service
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -46,7 +46,7 @@
 	machine := lifecycle.New(nil)
 	a := New(Config{
 		Self: protocol.NodeRef{Node: "agent", Incarnation: "1"}, Backend: "s", BackendURL: "http://127.0.0.1:1",
-		LeaseDuration: 3 * time.Second, HeartbeatInterval: time.Second, TicketKey: make([]byte, 16), Service: s,
+		LeaseDuration: 3 * time.Second, TicketKey: make([]byte, 16), Service: s,
 	}, release.NewStore(), machine, log.NewNopLogger())
 	if err := machine.Ready(); err != nil {
 		t.Fatal(err)
@@ -299,3 +299,46 @@
 		is.Equal(call().Code, 201)
 	})
 }
+
+// TestCommandIsRefusedWhileTheStateTurnsFresh lets the process's recorded state become
+// fresh during the check of a command.
+func TestCommandIsRefusedWhileTheStateTurnsFresh(t *testing.T) {
+	is := is.New(t)
+	a := newPlainAgent(t, &countingService{})
+	checks := 0
+	a.cfg.StateFresh = func() bool { checks++; return checks > 1 }
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	left, refusal := a.checkNew(protocol.CommandHeader{From: testEntry, Timeout: time.Second}, "x")
+	is.True(refusal != nil)
+	is.Equal(left, time.Duration(0))
+}
+
+// TestCancelsOfUnknownAttemptsTakeBoundedMemory cancels more attempts than tombstones fit.
+// A command for any of them is refused until it has expired.
+func TestCancelsOfUnknownAttemptsTakeBoundedMemory(t *testing.T) {
+	const limit = 4
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newPlainAgent(t, &countingService{})
+		a.tombstones = newTombstones(limit)
+		for i := range 3 * limit {
+			a.cancel(protocol.CancelArgs{Header: protocol.CommandHeader{From: testEntry}, Attempt: fmt.Sprint(i)})
+			time.Sleep(time.Minute)
+		}
+		is.Equal(len(a.tombstones.ids), limit)
+		check := func(id string) *apierror.Error {
+			a.expire()
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			_, refusal := a.checkNew(protocol.CommandHeader{From: testEntry, Timeout: time.Second}, id)
+			return refusal
+		}
+		last := fmt.Sprint(3*limit - 1)
+		is.True(check(last) != nil)
+		time.Sleep(maxCommandLifetime - time.Minute)
+		is.True(check(last) != nil)
+		time.Sleep(tombstoneTTL)
+		is.True(check("new") == nil)
+	})
+}
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -40,7 +40,7 @@
 	is.NoErr(store.Apply(doc))
 	a := New(Config{
 		Self: protocol.NodeRef{Node: "orders-test", Incarnation: "1"}, Backend: "s", IsEngine: true, BackendURL: server.URL,
-		LeaseDuration: time.Minute, HeartbeatInterval: time.Second, TicketKey: make([]byte, 16),
+		LeaseDuration: time.Minute, TicketKey: make([]byte, 16),
 	}, store, lifecycle.New(nil), log.NewNopLogger())
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -117,11 +117,12 @@
 // after the attempt was cancelled, twice, or while the tombstones are full. It
 // returns the time left. The caller holds a.mu.
 func (a *Agent) checkNew(c protocol.CommandHeader, id string) (time.Duration, *apierror.Error) {
+	if refusal := a.checkAccepting(); refusal != nil {
+		return 0, refusal
+	}
 	left := a.timeLeft(c)
 	_, exists := a.attempts[id]
 	switch {
-	case a.checkAccepting() != nil:
-		return 0, a.checkAccepting()
 	case left <= 0:
 		return 0, apierror.NotRun(apierror.KindDeadlineExceeded, "the command arrived after its deadline", "send a new attempt")
 	case a.superseded(c.From):
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -535,7 +535,7 @@
 	self := protocol.NodeRef{Node: "agent-" + name, Incarnation: f.incarnation()}
 	killed := make(chan struct{})
 	cfg := agent.Config{
-		Self: self, Backend: name, BackendURL: "http://" + addresses[name], LeaseDuration: testLease, HeartbeatInterval: testHeartbeat,
+		Self: self, Backend: name, BackendURL: "http://" + addresses[name], LeaseDuration: testLease,
 		TicketKey: make([]byte, 16), Service: f.service, WriterLock: "127.0.0.1:0",
 	}
 	if e, ok := f.engines[name]; ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,7 +195,7 @@
 	s := n.settings
 	cfg := agent.Config{
 		Self: n.self, Backend: s.Backend.Name, IsEngine: s.Backend.Kind == settings.KindEngine, BackendURL: s.Backend.URL,
-		LeaseDuration: s.Timeouts.Lease, HeartbeatInterval: s.Timeouts.Heartbeat, TicketKey: s.TicketKeyBytes(),
+		LeaseDuration: s.Timeouts.Lease, TicketKey: s.TicketKeyBytes(),
 		Orders: n.ordersConfig(), WriterLock: s.Backend.WriterLock,
 	}
 	if n.control != nil {
