router, dispatch: faults found while reading

- The free memory of a server left out the runs of other entries.
- A stage order that failed was still announced as a change of stage.
- Error bodies from 1 MiB on were cut and sent as whole, and plain answers from 1 MiB on failed, were repeated and counted against the server.
The bound is 4 MiB; what is longer ends the call with an unknown outcome.
- Fences did not rise when the clock stood still or went back.
- A full queue refused urgent jobs, which continue an earlier attempt.

That ReassignPrefill does not return to a server that refused is none: the attempt ends there, and the job's next one is placed by plan, which does. Flows of the fair queue are none either: one for each organisation that was ever configured.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -162,7 +163,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.poolLocked(j.Model)
-	if p.sched.Len() >= d.options.MaxQueued {
+	if p.sched.Len() >= d.options.MaxQueued && !j.Urgent {
 		return nil, &Refusal{Reason: "the queue is full", RetryAfter: queueFullRetry, State: p.state()}
 	}
 	w := p.newWaiter(j)
@@ -289,12 +290,21 @@
 func (d *Dispatcher[S]) poolLocked(model string) *pool[S] {
 	p, ok := d.pools[model]
 	if !ok {
+		d.pruneLocked()
 		p = newPool(d, model)
 		d.pools[model] = p
 	}
 	return p
 }
 
+// pruneLocked forgets the pools without servers and waiting jobs.
+func (d *Dispatcher[S]) pruneLocked() {
+	maps.DeleteFunc(d.pools, func(_ string, p *pool[S]) bool {
+		p.refresh()
+		return len(p.prefills)+len(p.decodes)+p.sched.Len()+len(p.pinned)+len(p.remoteWaiting) == 0
+	})
+}
+
 // QueueLength returns the number of queued jobs.
 func (d *Dispatcher[S]) QueueLength() int {
 	d.mu.Lock()
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -338,3 +338,20 @@
 		is.Equal(f.onTime, f.asked)
 	})
 }
+
+// TestUrgentJobsAreQueuedBeyondTheLimit fills the queue: a job that continues an earlier
+// attempt is taken all the same.
+func TestUrgentJobsAreQueuedBeyondTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &entry{}
+		d := dispatch.New(e, dispatch.Options{MaxQueued: 1, NewPlanner: newPlanner, Policy: admission.Predicted{}, Order: schedule.FIFO{}})
+		job := func(urgent bool) error {
+			_, err := d.Offer(&dispatch.Job{Weight: 1, Goal: admission.Goal{FirstToken: target}, PromptTokens: 1, Urgent: urgent})
+			return err
+		}
+		is.NoErr(job(false))
+		is.True(job(false) != nil)
+		is.NoErr(job(true))
+	})
+}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -121,6 +121,16 @@
 	s.projected = false
 }
 
+// RemoteTokens returns the memory in tokens that the runs of the other entries are expected
+// to use.
+func (s *Server) RemoteTokens() int {
+	tokens := 0.0
+	for _, r := range s.remoteRuns {
+		tokens += float64(r.Prompt) + r.Answer
+	}
+	return int(tokens)
+}
+
 // LocalUse returns this entry's use of the server and its runs there.
 func (s *Server) LocalUse() (Use, []*Run) { return s.localUse, s.localRuns }
 
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -211,12 +211,27 @@
 	sleep.WithContext(ctx, orderNotice)
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := r.servers.Order(ctx, &Order{Server: b.server.Load(), Stage: to, Holder: holder, Fence: time.Now().UnixMilli()})
+	err := r.servers.Order(ctx, &Order{Server: b.server.Load(), Stage: to, Holder: holder, Fence: r.nextFence(time.Now())})
 	_ = level.Info(r.log).Log("msg", "stage ordered", "server", b.Name(), "from", from, "to", to, "err", err)
+	ended := func() { b.orderedLocally.Store(false); r.shareUsage(b) }
 	if err != nil {
 		b.stageChangeUntil.Store(0)
+		ended()
+		return
+	}
+	time.AfterFunc(switchTime+switchMargin, ended)
+}
+
+// nextFence returns a fence above those that this process has used. It is the time of day in
+// milliseconds, so that it is above those of earlier holders too, unless the clock went back.
+func (r *Router) nextFence(now time.Time) int64 {
+	for {
+		last := r.lastFence.Load()
+		next := max(now.UnixMilli(), last+1)
+		if r.lastFence.CompareAndSwap(last, next) {
+			return next
+		}
 	}
-	time.AfterFunc(switchTime+switchMargin, func() { b.orderedLocally.Store(false); r.shareUsage(b) })
 }
 
 // minVersionServers is the number of servers of one version of software from which one of
--- a/internal/router/balance_test.go
+++ b/internal/router/balance_test.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/directory"
 )
 
 // TestBestSplit checks the number of prefill servers for demands of prefill and decode
@@ -70,3 +74,29 @@
 		is.True(b.lasting(1, change))
 	})
 }
+
+// TestFencesRise asks for fences while the clock stands still and goes back.
+func TestFencesRise(t *testing.T) {
+	is := is.New(t)
+	r, now := &Router{}, time.Now()
+	is.Equal(r.nextFence(now), now.UnixMilli())
+	is.Equal(r.nextFence(now), now.UnixMilli()+1)
+	is.Equal(r.nextFence(now.Add(-time.Hour)), now.UnixMilli()+2)
+}
+
+// TestServicesOutsideTheConfigurationAreForgotten replaces the services of the configuration
+// many times.
+func TestServicesOutsideTheConfigurationAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	r := New(d, nil, Options{Budget: BudgetOptions{Window: time.Second}}, log.NewNopLogger())
+	for i := range 20 {
+		name := fmt.Sprint("service-", i)
+		d.SetConfig(&directory.Config{Version: uint64(i + 1), Routes: []directory.Route{{Name: name}}, Services: map[string]*directory.Service{name: {Name: name}}})
+		r.budget(name)
+		r.observeMaxWait(name, time.Second)
+		r.dispatch.VisitServers(name, func(time.Duration, []*backend, []*backend) {})
+	}
+	is.True(len(r.budgets) <= 2)
+	is.True(len(r.maxWaits) <= 2)
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/sleep"
@@ -30,11 +32,23 @@
 	// attemptShare is the fraction of the remaining time that an attempt of an
 	// idempotent call may take while another attempt is allowed.
 	attemptShare = 0.5
-	// maxPlainBody bounds the response that is buffered until it is complete, in bytes.
-	// A response to a plain call that is not shorter counts as broken.
-	maxPlainBody = 1 << 20
+	// maxBody bounds the response that is buffered until it is complete, in bytes.
+	maxBody = 4 << 20
 )
 
+// errTooLong is the error of a response that is longer than maxBody. Other servers would
+// give one of the same length.
+var errTooLong = errors.New("the response is longer than the router buffers")
+
+// readWhole reads the body of a response.
+func readWhole(r *Reply) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errTooLong
+	}
+	return body, err
+}
+
 // plain answers a call to a plain service, one without a model, by one server.
 func (x *exchange) plain(ctx context.Context) {
 	var failed plainOutcome // of the last attempt that a server may have run
@@ -67,7 +81,7 @@
 			}
 		default:
 			failed = out
-			if x.route.Kind != directory.Idempotent || x.attempts >= x.route.Attempts || ctx.Err() != nil || !x.acquireRetry(retryStep) {
+			if errors.Is(out.err, errTooLong) || x.route.Kind != directory.Idempotent || x.attempts >= x.route.Attempts || ctx.Err() != nil || !x.acquireRetry(retryStep) {
 				x.finishUnanswered(ctx, failed, nil)
 				return
 			}
@@ -158,13 +172,10 @@
 // from which its service time is derived.
 func (x *exchange) readPlain(b *backend, reply *Reply, sent time.Time, callsPerSlot float64) plainOutcome {
 	x.attempts++
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlainBody))
-	if err == nil && len(body) == maxPlainBody {
-		err = &upstream.Error{Progress: upstream.Broken, Err: io.ErrShortBuffer}
-	}
+	body, err := readWhole(reply)
 	valid := err == nil && reply.Proven
 	ok := valid && reply.Status < 300
-	b.health.recordAnswer(!ok, time.Duration(float64(time.Since(sent))/max(1, callsPerSlot)))
+	b.health.recordAnswer(!ok && !errors.Is(err, errTooLong), time.Duration(float64(time.Since(sent))/max(1, callsPerSlot)))
 	switch {
 	case ok:
 		x.observe(stagePlain, time.Since(x.call.Arrived))
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -37,7 +37,8 @@
 	// other entries.
 	Calls, OtherCalls int64
 	// Slots is the number of slots in use of a model server, and FreeTokens its memory
-	// in tokens less the maximum that the requests of this entry can use.
+	// in tokens less the maximum that the requests of this entry can use and what those of
+	// the other entries are expected to use.
 	Slots, FreeTokens int
 	FailureRate       float64
 	// WorkMillis is the mean service time in milliseconds.
@@ -88,7 +89,9 @@
 			FailureRate: failures, WorkMillis: service.Milliseconds(),
 			Advice: newAdviceSnapshot(b, time.Now()),
 		}
-		r.dispatch.Update(b, func(_ time.Duration, v *placement.Server) { row.Slots, row.FreeTokens = v.SlotsUsed(), v.PiecesFree() })
+		r.dispatch.Update(b, func(_ time.Duration, v *placement.Server) {
+			row.Slots, row.FreeTokens = v.SlotsUsed(), v.PiecesFree()-v.RemoteTokens()
+		})
 		out.Servers = append(out.Servers, row)
 	}
 	slices.SortFunc(out.Servers, func(a, b ServerSnapshot) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -92,7 +92,7 @@
 
 // relayFailure sends the server's own error response to the caller.
 func (x *exchange) relayFailure(reply *Reply) error {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlainBody))
+	body, err := readWhole(reply)
 	if err != nil {
 		return streamError(err)
 	}
