--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -5,11 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"github.com/samphirestream/samphirestream/internal/admission"
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/dispatch"
+	"github.com/samphirestream/samphirestream/internal/logging"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/protocol"
 	"github.com/samphirestream/samphirestream/internal/release"
@@ -85,13 +87,18 @@
 	})
 }
 
+// goal returns the latency targets and the objective of a job's provider.
+func (j *job) goal() admission.Goal {
+	t, o := j.provider.Targets, j.provider.Objective
+	return admission.NewGoal(t.FirstToken, t.BetweenTokens, o.Goodput, o.WastedPrefill)
+}
+
 // dispatchJob returns the job in the form that the scheduler takes. An answer that has begun
 // goes on only at servers of the software that began it.
 func (e *Entry) dispatchJob(j *job) *dispatch.Job {
-	t, o := j.provider.Targets, j.provider.Objective
 	out := &dispatch.Job{
 		Model: j.model.Key(), Provider: j.provider.Name, Weight: j.provider.Weight,
-		Goal:         admission.NewGoal(t.FirstToken, t.BetweenTokens, o.Goodput, o.WastedPrefill),
+		Goal:         j.goal(),
 		PromptTokens: j.promptTokens + len(j.delivered), MaxTokens: j.maxTokens,
 		Pieces:   protocol.Pieces(j.promptTokens + j.maxTokens),
 		Prefixes: j.prefixes, Urgent: j.urgent, FailedServers: j.failedServers,
@@ -130,5 +137,9 @@
 		return callFailure(ctx, err)
 	}
 	j.refused = true
+	b := refusal.State
+	_ = level.Info(logging.FromContext(ctx)).Log("msg", "refused by prediction", "here", b.LocalWaiting, "elsewhere", b.RemoteWaiting,
+		"prefill_servers", b.PrefillServers, "decode_servers", b.DecodeServers, "wait_ms", b.Wait.Milliseconds(), "path_ms", b.TimeToFirstToken.Milliseconds(),
+		"target_ms", j.goal().FirstToken.Milliseconds(), "retry_after_ms", refusal.RetryAfter.Milliseconds())
 	return apierror.NotRun(apierror.KindOverloaded, refusal.Reason, "retry after the delay").WithRetryAfter(refusal.RetryAfter)
 }
