gossip, controlplane, node: faults found while reading

A peer's claim of a later note was never compared when the own head reached it, so that a fork stayed unseen until that peer's head changed; it is now checked then. The watcher read a configuration service without long polls in a loop without a pause. Two returns relied on an unspecified order of evaluation. New left its listeners open if the control part failed, which no input brings about.

--- a/internal/controlplane/client.go
+++ b/internal/controlplane/client.go
@@ -78,7 +78,10 @@
 		return 0, errors.Annotate(err, "reading the head of the release notes")
 	}
 	var head Head
-	return head.Number, errors.Trace(json.Unmarshal(data, &head))
+	if err := json.Unmarshal(data, &head); err != nil {
+		return 0, errors.Annotate(err, "reading the head of the release notes")
+	}
+	return head.Number, nil
 }
 
 // Note returns the published bytes of a note.
@@ -98,7 +101,10 @@
 		return nil, errors.Annotate(err, "reading the list of VMs")
 	}
 	var list VMs
-	return list.VMs, errors.Trace(json.Unmarshal(data, &list))
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, errors.Annotate(err, "reading the list of VMs")
+	}
+	return list.VMs, nil
 }
 
 // get returns the body of a successful answer of up to limit bytes.
--- a/internal/controlplane/watcher.go
+++ b/internal/controlplane/watcher.go
@@ -39,13 +39,15 @@
 
 // WaitAndApply waits for later notes and applies them.
 func (w *Watcher) WaitAndApply(ctx context.Context, wait time.Duration) error {
-	current := w.Store.Current().Number
+	current, began := w.Store.Current().Number, time.Now()
 	head, err := w.Client.Head(ctx, current, wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if head < current {
-		sleep.WithContext(ctx, retryDelay) // the service is stale; the store never goes back to an earlier note
+	if head < current || head == current && time.Since(began) < min(wait, retryDelay) {
+		// The service is stale, and the store never goes back to an earlier note; or the
+		// service does not wait.
+		sleep.WithContext(ctx, retryDelay)
 	}
 	for n := current + 1; n <= head; n++ {
 		if err := w.fetchAndApply(ctx, n); err != nil {
--- a/internal/gossip/notes.go
+++ b/internal/gossip/notes.go
@@ -76,14 +76,18 @@
 }
 
 // checkFork reports a fork when a peer has a different note of the same number.
-// A claim is checked when it first arrives, unless it is later than the head of this
-// process; the same claim is not checked again.
+// A claim is checked when it first arrives or, if it is later than the head of this
+// process, when the head reaches it; the same claim is not checked again.
 func (n *Node) checkFork(p *packet) {
-	if n.notes.claims[p.From] == p.Head || p.Head.Number > n.notes.head.Number {
-		return
+	if n.notes.claims[p.From] != p.Head && p.Head.Number <= n.notes.head.Number {
+		n.checkClaim(p.From, p.Head)
 	}
-	if err := n.cfg.Store.CheckDigest(p.Head.Number, hex.EncodeToString(p.Head.Digest[:])); err != nil {
-		n.reportFork(err, p.From)
+}
+
+// checkClaim reports a fork when the head of a peer differs from the note of that number.
+func (n *Node) checkClaim(from string, claim head) {
+	if err := n.cfg.Store.CheckDigest(claim.Number, hex.EncodeToString(claim.Digest[:])); err != nil {
+		n.reportFork(err, from)
 	}
 }
 
@@ -268,7 +272,13 @@
 
 // headAdvanced updates the head from the store and announces it.
 func (n *Node) headAdvanced() {
+	before := n.notes.head.Number
 	n.notes.head = headOf(n.cfg.Store.Latest())
+	for from, claim := range n.notes.claims {
+		if claim.Number > before && claim.Number <= n.notes.head.Number {
+			n.checkClaim(from, claim)
+		}
+	}
 	n.notes.headRounds = n.cfg.Tuning.Rounds - 1
 	n.notes.nextPull = n.now
 	_ = level.Info(n.cfg.Log).Log("msg", "release note verified", "note", n.notes.head.Number)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,7 @@
 	n.listeners = append(n.listeners, n.peersLn)
 	if udp != nil {
 		if n.control, err = n.newControl(udp, security); err != nil {
+			n.closeListeners()
 			return nil, errors.Trace(err)
 		}
 	}
