entry, orders, release: faults found while reading

- A whole answer that failed midway was reported as partial, though its caller had received nothing.
- A ticket or an offset that can not be read said that the request did not run, which the entry can not know.
- The failover of a server was also given to data centres of its own region, which do not use it: such servers had none in another region.
- A path below two services' prefixes went to the first by name; the longest prefix decides now.
- Every listen error read as a writer lock held by another process.
- An attempt of another role was refused with 'the engine has not loaded it'.

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,9 +227,12 @@
 
 func TestForgedResumeTicketIsRefused(t *testing.T) {
 	inVirtualTime(t, func(is *is.I, f *fleet) {
-		x := f.send("entry-1", http.MethodGet, "/v1/requests/forged", "", nil, nil)
-		<-x.done
-		is.Equal(x.out.status(), http.StatusBadRequest)
+		for _, path := range []string{"/v1/requests/forged", "/v1/requests/forged?offset=-1"} {
+			x := f.send("entry-1", http.MethodGet, path, "", nil, nil)
+			<-x.done
+			is.Equal(x.out.status(), http.StatusBadRequest)
+			is.Equal(x.outcome(), "outcome_unknown") // the request of a ticket may have run
+		}
 	})
 }
 
@@ -406,3 +410,25 @@
 		})
 	}
 }
+
+// TestBufferedAnswerIsNeverPartial fails all engines amid an answer. A caller that asked for
+// no stream has received nothing of it.
+func TestBufferedAnswerIsNeverPartial(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		inVirtualTime(t, func(is *is.I, f *fleet) {
+			x := f.sendPrompt("entry-1", "q", stream, nil)
+			time.Sleep(midAnswer)
+			for _, e := range f.engines {
+				e.setState(true, false)
+			}
+			<-x.done
+			if stream {
+				text, _, complete := x.streamed()
+				is.True(!complete && text != "")
+				is.True(strings.Contains(x.out.text(), `"outcome":"partial"`))
+				return
+			}
+			is.Equal(x.outcome(), "outcome_unknown")
+		})
+	}
+}
--- a/internal/entry/format.go
+++ b/internal/entry/format.go
@@ -134,6 +134,9 @@
 	sent int
 }
 
+// streams implements answerWriter.
+func (*sseWriter) streams() bool { return true }
+
 // sendResumeTicket implements answerWriter. The first ticket goes into the header.
 // Later ones, for a request that moved to another server, go into SSE comments,
 // which other clients ignore.
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -57,6 +57,8 @@
 type answerWriter interface {
 	// write writes tokens. An error means that the caller has disconnected.
 	write(tokens []string) error
+	// streams reports whether the caller gets tokens as they are written.
+	streams() bool
 	// sendResumeTicket sends the caller the ticket that resumes the request.
 	sendResumeTicket(ticket string)
 }
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -45,9 +45,12 @@
 	if v == nil || len(servers) <= maxFullyConnectedServers || len(v.Entries) == 0 {
 		return servers
 	}
-	chosen := map[string]bool{}
+	chosen, regions := map[string]bool{}, map[string]string{}
+	for _, s := range servers {
+		regions[s.DataCentre] = s.Region
+	}
 	for _, g := range groupByPool(servers) {
-		for _, name := range e.chooseServers(v, g) {
+		for _, name := range e.chooseServers(v, g, regions) {
 			chosen[name] = true
 		}
 	}
@@ -78,7 +81,9 @@
 	return out
 }
 
-func (e *Entry) chooseServers(v *membership.View, g serverGroup) []string {
+// chooseServers returns the servers of a group that this entry connects to. regions are the
+// regions of data centres.
+func (e *Entry) chooseServers(v *membership.View, g serverGroup, regions map[string]string) []string {
 	self := e.cfg.Self.Node
 	switch {
 	case g.dataCentre == e.cfg.DataCentre:
@@ -88,7 +93,9 @@
 	}
 	centres := []string{e.cfg.DataCentre}
 	for dc := range v.RemoteEntries {
-		centres = append(centres, dc)
+		if regions[dc] != g.region {
+			centres = append(centres, dc)
+		}
 	}
 	failover := membership.FailoverServers(e.cfg.DataCentre, centres, g.names)
 	return membership.RemoteSubset(self, v.Entries, failover)
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -219,6 +219,9 @@
 
 func (bufferedWriter) write([]string) error { return nil }
 
+// streams implements answerWriter.
+func (bufferedWriter) streams() bool { return false }
+
 // sendResumeTicket implements answerWriter. It sends no ticket, since the header is
 // sent only with the complete answer.
 func (bufferedWriter) sendResumeTicket(string) {}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -101,7 +101,7 @@
 func (e *Entry) serveResume(w http.ResponseWriter, r *http.Request, p release.Provider) {
 	t, err := e.minter.VerifyResume(r.PathValue("ticket"))
 	if err != nil || t.Provider != p.Name {
-		e.writeError(w, r, apierror.NotRun(apierror.KindInvalidTicket, "the ticket is forged, or for another provider", "send the request again"))
+		e.writeError(w, r, apierror.Unknown(apierror.KindInvalidTicket, "the ticket is malformed, forged, of a former key or for another provider", "send the request again"))
 		return
 	}
 	offset, refusal := resumeOffset(r)
@@ -127,7 +127,8 @@
 	e.serveStream(w, r, j, s, running)
 }
 
-// resumeOffset returns the number of tokens that the caller has received.
+// resumeOffset returns the number of tokens that the caller has received. The request to
+// resume may have run, whatever the offset is.
 func resumeOffset(r *http.Request) (int, *apierror.Error) {
 	text := r.FormValue("offset")
 	if text == "" {
@@ -138,7 +139,8 @@
 	}
 	offset, err := strconv.Atoi(text)
 	if err != nil || offset < 0 {
-		return 0, badRequest("offset is %q; give the number of tokens received", text)
+		refusal := badRequest("offset is %q; give the number of tokens received", text)
+		return 0, apierror.Unknown(refusal.Kind, refusal.Message, refusal.Remedy)
 	}
 	return offset, nil
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -89,9 +89,9 @@
 		out.Kind, out.Message = apierror.KindCancelled, "the caller cancelled the request"
 	}
 	switch {
-	case len(j.delivered) > 0:
+	case len(j.delivered) > 0 && j.out.streams():
 		out.Outcome = apierror.OutcomePartial
-	case j.mayHaveRun:
+	case j.mayHaveRun || len(j.delivered) > 0:
 		out.Outcome = apierror.OutcomeUnknown
 	default:
 		out.Outcome = apierror.OutcomeNotRun
--- a/internal/orders/gate.go
+++ b/internal/orders/gate.go
@@ -60,7 +60,7 @@
 	}
 	s := &g.serving
 	if s.role != role {
-		return apierror.NotRun(apierror.KindUnavailable, "not a "+role+" server: "+s.refusalReason(""), remedyOtherServer)
+		return apierror.NotRun(apierror.KindUnavailable, "not a "+role+" server: "+s.roleReason(), remedyOtherServer)
 	}
 	if !s.models[model] {
 		return apierror.NotRun(apierror.KindUnavailable, "model "+model+" is not in service here: "+s.refusalReason(model), remedyOtherServer)
@@ -79,8 +79,15 @@
 	return nil
 }
 
-// refusalReason returns why a key takes no new attempts. The empty key stands for
-// the engine as a whole.
+// roleReason returns why an engine takes no attempts of another role.
+func (s *servingSet) roleReason() string {
+	if s.reason != "" {
+		return s.reason
+	}
+	return "the engine has the role " + s.role
+}
+
+// refusalReason returns why a key takes no new attempts.
 func (s *servingSet) refusalReason(key string) string {
 	switch {
 	case s.reason != "":
--- a/internal/orders/plan_test.go
+++ b/internal/orders/plan_test.go
@@ -214,3 +214,24 @@
 	is.Equal(rec.Snapshot().Serving, []string{"reader@2"})
 	is.Equal(weights.Reads(), int64(1))
 }
+
+// TestLockErrorsNameTheirCause takes locks that are held and that are not of this VM.
+func TestLockErrorsNameTheirCause(t *testing.T) {
+	is := is.New(t)
+	held := NewListenerLock("127.0.0.1:0")
+	is.NoErr(held.Acquire())
+	defer held.Release()
+	err := NewListenerLock(held.listener.Addr().String()).Acquire()
+	is.True(err != nil && strings.Contains(err.Error(), "another process holds"))
+	err = NewListenerLock("192.0.2.1:7199").Acquire()
+	is.True(err != nil && !strings.Contains(err.Error(), "another process"))
+}
+
+// TestRefusalNamesTheRoleOfTheEngine asks an engine in service for an attempt of another role.
+func TestRefusalNamesTheRoleOfTheEngine(t *testing.T) {
+	is := is.New(t)
+	g := NewGate()
+	g.serving = servingSet{role: "decode", models: map[string]bool{"reader@1": true}}
+	refusal := g.Admit("x", "prefill", "reader@1", "")
+	is.Equal(refusal.Message, "not a prefill server: the engine has the role decode")
+}
--- a/internal/orders/writerlock.go
+++ b/internal/orders/writerlock.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"net/url"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -36,8 +37,11 @@
 		return nil
 	}
 	ln, err := net.Listen("tcp", l.addr)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
 		return errors.Annotatef(err, "another process holds the writer lock %s; end it, or set backend.writer_lock to a free address", l.addr)
+	case err != nil:
+		return errors.Annotatef(err, "the writer lock %s; set backend.writer_lock to a free address of this VM", l.addr)
 	}
 	l.listener = ln
 	return nil
--- a/internal/release/fleetstate.go
+++ b/internal/release/fleetstate.go
@@ -250,16 +250,16 @@
 // be modified.
 func (state *FleetState) Models() []Model { return state.index.models }
 
-// ServiceFor returns the first plain service, by name, whose prefix covers urlPath,
-// and the rest of the path.
-func (state *FleetState) ServiceFor(urlPath string) (Service, string, bool) {
+// ServiceFor returns the plain service with the longest prefix that covers urlPath, and the
+// rest of the path.
+func (state *FleetState) ServiceFor(urlPath string) (service Service, rest string, ok bool) {
 	for _, s := range state.index.services {
-		rest, ok := strings.CutPrefix(urlPath, s.Prefix)
-		if ok && (rest == "" || rest[0] == '/') {
-			return s, rest, true
+		after, covers := strings.CutPrefix(urlPath, s.Prefix)
+		if covers && (after == "" || after[0] == '/') && (!ok || len(s.Prefix) > len(service.Prefix)) {
+			service, rest, ok = s, after, true
 		}
 	}
-	return Service{}, "", false
+	return service, rest, ok
 }
 
 // Call returns the first declared call that matches a method and the rest of a path.
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -202,6 +202,27 @@
 	is.True(!ok)
 }
 
+// TestNestedPrefixesGoToTheLongest routes paths below two services, one below the other.
+func TestNestedPrefixesGoToTheLongest(t *testing.T) {
+	is := is.New(t)
+	store := NewStore()
+	doc, err := Parse([]byte(`schema: samphirestream/v1
+number: 1
+added:
+  services:
+    - {name: a, prefix: /files, calls: [{method: GET, path: /*}]}
+    - {name: b, prefix: /files/archive, calls: [{method: GET, path: /*}]}
+`))
+	is.NoErr(err)
+	is.NoErr(store.Apply(doc))
+	for path, want := range map[string]string{"/files/x": "a", "/files/archive": "b", "/files/archive/x": "b", "/files/archives": "a"} {
+		s, rest, ok := store.Current().ServiceFor(path)
+		is.True(ok)
+		is.Equal(s.Name, want)
+		is.Equal(s.Prefix+rest, path)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(firstNote))
 	f.Add([]byte(secondNote(f, "withdrawn:\n  adapters: [legal]\n")))
