ctl, benchmodel, standin, invariant: faults found while reading

- explain listed left-out kinds of lines in random order; note diff -json wrote null after an error; a state dump that was cut or broke off read as no state.
- The bound of the policy bench took the whole time of a slow engine, which works at half of its speed, and of a stalled link, before whose end a prefill may begin in time: it was no upper bound.
Attempts were counted twice after a failed call and not at all after a refusal.
- A stand-in engine took the first of two fetches of a model for the second; a partition of the way back did not fail a pull.
- The recorder of the integration tests dropped events that it could not write in silence; the tests now fail.

Each has a test that failed before, but for note diff (no input brings an error about) and Recorder.Err (new).

--- a/internal/benchmodel/bound.go
+++ b/internal/benchmodel/bound.go
@@ -73,18 +73,24 @@
 }
 
 // availableServerTime returns the total time that the prefill and the decode
-// servers can work in a window. It subtracts the duration of the scenario's fault
-// at the affected servers, as if the fault were known in advance.
+// servers can work in a window. It subtracts what the scenario's fault takes from the
+// affected servers, as if the fault were known in advance.
 func (s Scenario) availableServerTime(f Fleet, w Window) (prefill, decode time.Duration) {
 	span := s.faultWindow(f)
+	if s.StallLink {
+		// What is prefilled within the target of the end of the stall is still in time.
+		span.To = max(span.From, span.To-firstTokenTarget)
+	}
 	lost := max(0, min(w.To, span.To)-max(w.From, span.From))
 	length := w.To - w.From
 	prefill, decode = time.Duration(f.Prefills)*length, time.Duration(f.Decodes)*length
 	switch {
 	case s.CrashPrefill || s.StallLink:
 		prefill -= lost
-	case s.CrashDecode || s.SlowDecode:
+	case s.CrashDecode:
 		decode -= lost
+	case s.SlowDecode:
+		decode -= lost - lost/slowFactor
 	case s.LoseDataCentre:
 		prefill -= lost * time.Duration(lostServers(f.Prefills, f))
 		decode -= lost * time.Duration(lostServers(f.Decodes, f))
--- a/internal/benchmodel/entry.go
+++ b/internal/benchmodel/entry.go
@@ -53,6 +53,7 @@
 	prefill, decode int // indices of its servers; decode is -1 until chosen
 	task            *decodeTask
 	kv              *kvResult
+	counted         bool          // as one of req.attempts
 	tokens          int           // tokens received in the attempt
 	sampleStart     time.Duration // start of the present sample of the step time
 }
@@ -186,7 +187,7 @@
 
 // dispatch begins an attempt.
 func (e *entryModel) dispatch(a *activeRequest, plan placement.Plan) {
-	a.tokens, a.kv, a.task = 0, nil, nil
+	a.tokens, a.kv, a.task, a.counted = 0, nil, nil, false
 	a.prefill, a.decode = plan.Prefill, plan.Decode
 	if e.sim.policy.Reservation == ReserveAfterPrefill {
 		e.runPrefill(a)
@@ -282,7 +283,8 @@
 // wait exceeds the predicted one by more than placement.WaitTolerance. After
 // placement.MaxRefusals consecutive refusals any wait is accepted.
 func (e *entryModel) runPrefill(a *activeRequest) {
-	if a.refusals == 0 {
+	if !a.counted {
+		a.counted = true
 		a.req.attempts++
 	}
 	if e.sim.policy.TwoPrefillBids {
--- a/internal/benchmodel/run_test.go
+++ b/internal/benchmodel/run_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/placement"
+	"github.com/samphirestream/samphirestream/internal/schedule"
 )
 
 func TestRunsAreDeterministic(t *testing.T) {
@@ -71,3 +74,41 @@
 		is.True(Run(Registry(), s, p).GoodputShare > 0)
 	}
 }
+
+// TestEachAttemptIsCountedOnce tries several prefill servers in one attempt, and begins
+// another after a refusal.
+func TestEachAttemptIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	f := Nile()
+	f.Duration = time.Second
+	policy := Default()
+	policy.Reservation = ReserveAfterPrefill
+	requests := generate(f, Scenario{Load: 0.5})
+	e := newSimulation(f, Scenario{}, policy).entries[0]
+	a := &activeRequest{e: e, req: requests[0]}
+	a.job = &schedule.Job{Provider: f.Providers[0].Name, Weight: 1, Owner: a}
+	e.prepareJob(a)
+	plan := placement.Plan{Prefill: 0, Decode: -1}
+	e.dispatch(a, plan)
+	e.runPrefill(a) // at another server, as after a failed call
+	is.Equal(a.req.attempts, 1)
+	a.refusals = 1
+	e.dispatch(a, plan)
+	is.Equal(a.req.attempts, 2)
+}
+
+// TestBoundCountsWhatFaultsLeave checks the server time that is left by faults that do not
+// stop a server.
+func TestBoundCountsWhatFaultsLeave(t *testing.T) {
+	is := is.New(t)
+	f := Nile()
+	f.Duration = 30 * time.Second
+	w := Window{0, f.Duration}
+	prefill, decode := Scenario{}.availableServerTime(f, w)
+	slowPrefill, slowDecode := Scenario{SlowDecode: true}.availableServerTime(f, w)
+	is.Equal(slowPrefill, prefill)
+	is.Equal(decode-slowDecode, 10*time.Second/slowFactor) // half of the speed for a third of the run
+	stalledPrefill, stalledDecode := Scenario{StallLink: true}.availableServerTime(f, w)
+	is.Equal(prefill-stalledPrefill, stallDuration-firstTokenTarget)
+	is.Equal(stalledDecode, decode)
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/controlplane"
 	"github.com/samphirestream/samphirestream/internal/demo"
+	"github.com/samphirestream/samphirestream/internal/explain"
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/standin"
 )
@@ -246,6 +247,38 @@
 	}
 }
 
+// TestLeftOutLinesAreListedInOrder prints the kinds of lines that the logs left out.
+func TestLeftOutLinesAreListedInOrder(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		var out bytes.Buffer
+		p := &printer{out: &out}
+		p.showTimeline(&explain.Timeline{Dropped: map[string]int{"c": 1, "a": 1, "b": 1}})
+		text := out.String()
+		is.True(strings.Index(text, `"a"`) < strings.Index(text, `"b"`))
+		is.True(strings.Index(text, `"b"`) < strings.Index(text, `"c"`))
+	}
+}
+
+// TestCutDumpIsNamed reads state dumps that are longer than allowed and that break off.
+func TestCutDumpIsNamed(t *testing.T) {
+	is := is.New(t)
+	long := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := bytes.Repeat([]byte(" "), 1<<20)
+		for range maxDumpBytes>>20 + 1 {
+			_, _ = w.Write(block)
+		}
+	}))
+	_, err := readState(t.Context(), strings.TrimPrefix(long, "http://"))
+	is.True(err != nil && strings.Contains(err.Error(), "longer than 64 MiB"))
+	short := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = fmt.Fprint(w, "{")
+	}))
+	_, err = readState(t.Context(), strings.TrimPrefix(short, "http://"))
+	is.True(err != nil && strings.Contains(err.Error(), "broke off"))
+}
+
 // TestStatusOfARunningFleet runs status on the processes of the demo fleet.
 func TestStatusOfARunningFleet(t *testing.T) {
 	is := is.New(t)
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -60,8 +60,11 @@
 				states[i] = state
 			}
 			list, err := compare(states[0], states[1])
-			if err != nil || *asJSON {
-				return firstError(err, p.writeJSON(list))
+			if err != nil {
+				return errors.Trace(err)
+			}
+			if *asJSON {
+				return p.writeJSON(list)
 			}
 			p.showDiff(list)
 			return nil
--- a/internal/ctl/dump.go
+++ b/internal/ctl/dump.go
@@ -61,9 +61,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("%s answered %s; give the listen.admin address of a process", addr, resp.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxDumpBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxDumpBytes+1))
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, errors.Annotatef(err, "the state of %s broke off; try again", addr)
+	}
+	if len(data) > maxDumpBytes {
+		return nil, errors.Errorf("the state of %s is longer than %d MiB; read http://%s/debug/state directly", addr, maxDumpBytes>>20, addr)
 	}
 	if !json.Valid(data) {
 		return nil, errors.Errorf("%s answered no state; give the listen.admin address of a process", addr)
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -89,8 +91,8 @@
 		p.printf("\nwhat its entry learnt around that time:\n")
 		p.showLines(timeline.Context)
 	}
-	for kind, n := range timeline.Dropped {
-		p.printf("\n%d lines %q were left out of the log\n", n, kind)
+	for _, kind := range slices.Sorted(maps.Keys(timeline.Dropped)) {
+		p.printf("\n%d lines %q were left out of the log\n", timeline.Dropped[kind], kind)
 	}
 }
 
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"slices"
 	"strings"
 	"testing"
@@ -257,3 +258,18 @@
 	_, err = invariant.Read(strings.NewReader("{\n" + out.String()))
 	is.True(err != nil)
 }
+
+// failingWriter fails every write.
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 0, io.ErrShortWrite }
+
+func TestRecorderTellsOfLostEvents(t *testing.T) {
+	is := is.New(t)
+	whole := invariant.NewRecorder(io.Discard)
+	whole.Record(invariant.Event{Kind: invariant.MachineStalled})
+	is.NoErr(whole.Err())
+	lost := invariant.NewRecorder(failingWriter{})
+	lost.Record(invariant.Event{Kind: invariant.MachineStalled})
+	is.True(lost.Err() != nil)
+}
--- a/internal/invariant/recorder.go
+++ b/internal/invariant/recorder.go
@@ -14,8 +14,9 @@
 
 // Recorder writes events as JSON lines. It is safe for concurrent use.
 type Recorder struct {
-	mu  sync.Mutex
+	mu  sync.Mutex // guards the fields below
 	out io.Writer
+	err error // of the first event that was lost
 }
 
 // NewRecorder returns a recorder that writes to out.
@@ -31,7 +32,7 @@
 	return NewRecorder(out), nil
 }
 
-// Record writes an event. It sets the time to now unless the event has one.
+// Record writes an event; Err tells whether one was lost. It sets the time to now unless the event has one.
 func (r *Recorder) Record(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -39,10 +40,19 @@
 		e.At = time.Now()
 	}
 	line, err := json.Marshal(e)
-	if err != nil {
-		return
+	if err == nil {
+		_, err = r.out.Write(append(line, '\n'))
+	}
+	if err != nil && r.err == nil {
+		r.err = errors.Annotatef(err, "recording an event of kind %s", e.Kind)
 	}
-	_, _ = r.out.Write(append(line, '\n'))
+}
+
+// Err returns the error of the first event that was lost, or nil.
+func (r *Recorder) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err
 }
 
 // maxLineBytes is the max length of one event as JSON.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -122,6 +122,8 @@
 	models       map[string]int64  // sizes of the weights in bytes, by model key
 	adapters     map[string]string // keys of the base models, by adapter key
 	loading      map[string]int64  // like models, for weights that are being fetched
+	fetches      int               // number of fetches that were begun
+	fetching     map[string]int    // number of the fetch in progress of each model
 	role         string
 	fence        uint64 // highest fencing number that was accepted
 	orders       []engine.Order
@@ -153,6 +155,7 @@
 		models:   map[string]int64{},
 		adapters: map[string]string{},
 		loading:  map[string]int64{},
+		fetching: map[string]int{},
 		role:     cfg.Role,
 		observer: func(Observation) {},
 		cache:    newPrefixCache(cfg.CachePrefixes, cfg.EventLag, cfg.EventGap),
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -62,7 +62,9 @@
 		return nil
 	}
 	e.loading[o.Model] = o.WeightsBytes
-	go e.fetchModel(o, e.incarnation)
+	e.fetches++
+	e.fetching[o.Model] = e.fetches
+	go e.fetchModel(o, e.fetches)
 	return nil
 }
 
@@ -74,19 +76,21 @@
 }
 
 // fetchModel reads the weights of an order and then marks the model as loaded. It
-// discards them if meanwhile the engine restarted or the model was unloaded.
-func (e *Engine) fetchModel(o engine.Order, incarnation int) {
-	fetch := e.cfg.Fetch
-	if fetch == nil {
-		fetch = func(o engine.Order) error { return fetchWeights(o.Source) }
-	}
-	err := fetch(o)
+// discards them if meanwhile the engine restarted or the model was unloaded, also when the
+// model is fetched again.
+func (e *Engine) fetchModel(o engine.Order, fetch int) {
+	read := e.cfg.Fetch
+	if read == nil {
+		read = func(o engine.Order) error { return fetchWeights(o.Source) }
+	}
+	err := read(o)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, wanted := e.loading[o.Model]; !wanted || e.incarnation != incarnation {
+	if e.fetching[o.Model] != fetch {
 		return
 	}
 	delete(e.loading, o.Model)
+	delete(e.fetching, o.Model)
 	if err == nil {
 		e.models[o.Model] = o.WeightsBytes
 	}
@@ -107,6 +111,7 @@
 func (e *Engine) unloadLocked(model string) {
 	delete(e.models, model)
 	delete(e.loading, model)
+	delete(e.fetching, model)
 	e.abortLocked(func(r *request) bool { return r.kv.Model == model })
 }
 
@@ -171,6 +176,7 @@
 	e.fence = 0
 	clear(e.models)
 	clear(e.loading)
+	clear(e.fetching)
 	clear(e.adapters)
 	e.abortLocked(func(*request) bool { return true })
 }
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -79,7 +79,7 @@
 	m := e.net
 	m.After(2*m.delay(e.addr, addr), func() {
 		h, ok := m.hosts[addr]
-		if !ok || h.Notes == nil || m.partitioned(e.addr, addr) {
+		if !ok || h.Notes == nil || m.partitioned(e.addr, addr) || m.partitioned(addr, e.addr) {
 			done(gossip.SinceReply{}, errUnreachable)
 			return
 		}
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -214,6 +214,11 @@
 		f.t.Fatal(err)
 	}
 	f.recorder, f.logs = r, append(f.logs, file)
+	f.t.Cleanup(func() {
+		if err := r.Err(); err != nil {
+			f.t.Error(err)
+		}
+	})
 }
 
 func (f *fleet) startPlatform() {
