transport, entry: a hung dial no longer holds up the next connection

The test now separates the two until the agent serves.

That showed two faults. A dial that hung, as in a partition that has healed, was waited for until its time limit of 3 s, also by the retry of a heartbeat 'on a new connection'; ReplaceConn now lets the next call dial beside it. And a call that had waited for a dial could get a connection that ReplaceConn had closed between. Payments renew with the same retry as heartbeats.

--- a/internal/entry/agentconn.go
+++ b/internal/entry/agentconn.go
@@ -83,12 +83,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var streams sync.WaitGroup
 	streams.Go(func() { c.keepStream(ctx) })
-	c.heartbeat(ctx)
+	_ = c.heartbeat(ctx) // the next one follows
 	close(c.firstHeartbeatDone)
 	for ctx.Err() == nil && !c.finished() {
 		c.checkIdleRelays()
 		sleep.WithContext(ctx, c.entry.cfg.HeartbeatInterval)
-		c.heartbeat(ctx)
+		_ = c.heartbeat(ctx)
 	}
 	cancel()
 	c.close()
@@ -99,7 +99,7 @@
 
 // heartbeat renews the lease. On failure it retries once on a new connection,
 // early enough for the lease not to expire.
-func (c *agentConn) heartbeat(ctx context.Context) {
+func (c *agentConn) heartbeat(ctx context.Context) error {
 	err := c.renew(ctx)
 	if err != nil && ctx.Err() == nil {
 		c.peer.ReplaceConn()
@@ -108,6 +108,7 @@
 	if err != nil {
 		_ = level.Debug(c.entry.log).Log("msg", "heartbeat failed", "server", c.server.Name, "err", err)
 	}
+	return err
 }
 
 // renewsPerLease is the number of renewal attempts that fit into one lease.
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -345,12 +345,14 @@
 
 // TestTicketNamesCurrentIncarnation guards against issuing a ticket for an
 // earlier incarnation. It pays right after the agent was restarted, before a
-// heartbeat reported the new incarnation.
+// heartbeat reported the new incarnation: the entry reaches it only once it serves.
 func TestTicketNamesCurrentIncarnation(t *testing.T) {
 	inVirtualTime(t, func(is *is.I, f *fleet) {
+		f.net.partition("entry-1", addresses["ledger-1"], true)
 		f.agents["ledger-1"].kill()
 		f.startAgent("ledger-1")
 		synctest.Wait()
+		f.net.partition("entry-1", addresses["ledger-1"], false)
 		x := f.send("entry-1", http.MethodPost, "/ledger/payments", "pay", nil, nil)
 		<-x.done
 		is.Equal(x.out.status(), http.StatusCreated)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -89,7 +89,7 @@
 func (e *Entry) pickResponsive(ctx context.Context, service string, tried map[string]bool) *agentConn {
 	for {
 		c := e.pickPlain(service, tried)
-		if c == nil || c.renew(ctx) == nil {
+		if c == nil || c.heartbeat(ctx) == nil {
 			return c
 		}
 		tried[c.server.Name] = true
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -79,7 +79,9 @@
 
 	mu      sync.Mutex // guards the fields below; not held while dialling
 	current *rpcConn
+	// dialing is the dial that new calls wait for, nil if none; dials are all in progress.
 	dialing *dialing
+	dials   map[*dialing]struct{}
 }
 
 // rpcConn is one connection for RPC calls.
@@ -98,10 +100,13 @@
 	done   chan struct{} // closed when conn and err are set
 	conn   *rpcConn
 	err    error
+	closed bool // the peer was closed; its lock guards it
 }
 
 // NewPeer returns a peer without connecting to it.
-func (d *Dialer) NewPeer(addr string) *Peer { return &Peer{dialer: d, addr: addr} }
+func (d *Dialer) NewPeer(addr string) *Peer {
+	return &Peer{dialer: d, addr: addr, dials: map[*dialing]struct{}{}}
+}
 
 // Addr returns the address of the peer.
 func (p *Peer) Addr() string { return p.addr }
@@ -174,6 +179,7 @@
 		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handshakeTimeout)
 		d = &dialing{cancel: cancel, done: make(chan struct{})}
 		p.dialing = d
+		p.dials[d] = struct{}{}
 		go p.dial(dialCtx, d)
 	}
 	p.mu.Unlock()
@@ -186,6 +192,10 @@
 		return nil, d.err
 	}
 	p.mu.Lock()
+	if d.conn.retired { // meanwhile, and perhaps closed
+		p.mu.Unlock()
+		return p.connect(ctx)
+	}
 	defer p.mu.Unlock()
 	d.conn.calls++
 	return d.conn, nil
@@ -212,10 +222,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer close(d.done)
-	if err == nil && p.dialing != d {
+	if err == nil && d.closed {
 		_ = conn.Close()
 		err = errors.New("the peer was closed")
 	}
+	delete(p.dials, d)
 	if p.dialing == d {
 		p.dialing = nil
 	}
@@ -223,6 +234,11 @@
 		d.err = errors.Trace(err)
 		return
 	}
+	if p.current != nil && !p.current.codec.isClosed() { // a later dial was faster
+		_ = conn.Close()
+		d.conn = p.current
+		return
+	}
 	idleTimeout := p.dialer.IdleTimeout
 	codec := newClientCodec(&idleConn{Conn: conn, idleTimeout: idleTimeout}, idleTimeout/heartbeatsPerTimeout)
 	d.conn = &rpcConn{codec: codec, client: rpc.NewClientWithCodec(codec)}
@@ -240,10 +256,12 @@
 }
 
 // ReplaceConn makes the next call use a new connection. Calls in progress keep the
-// former one until they end or its idle timeout closes it.
+// former one until they end or its idle timeout closes it. A dial in progress goes on
+// beside that of the next call, and the first to succeed is used.
 func (p *Peer) ReplaceConn() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dialing = nil
 	if p.current == nil {
 		return
 	}
@@ -252,14 +270,15 @@
 	p.current = nil
 }
 
-// Close closes the connection and aborts a dial in progress.
+// Close closes the connection and aborts the dials in progress.
 func (p *Peer) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.dialing != nil {
-		p.dialing.cancel()
-		p.dialing = nil
+	for d := range p.dials {
+		d.closed = true
+		d.cancel()
 	}
+	p.dialing = nil
 	if p.current != nil {
 		_ = p.current.client.Close()
 		p.current = nil
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -230,6 +230,34 @@
 	})
 }
 
+// TestReplaceConnDoesNotWaitForAHungDial dials while the network drops packets, and again
+// when it does not any more.
+func TestReplaceConnDoesNotWaitForAHungDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, d, n := serve(t, &testService{})
+		n.hang = true
+		p := d.NewPeer(testAddr)
+		defer p.Close()
+		first := make(chan error, 1)
+		go func() {
+			_, err := call(t.Context(), p, "Echo")
+			first <- err
+		}()
+		synctest.Wait()
+		n.hang = false
+		p.ReplaceConn()
+		start := time.Now()
+		_, err := call(t.Context(), p, "Echo")
+		is.NoErr(err)
+		is.Equal(time.Since(start), time.Duration(0))
+		is.True(errors.Is(<-first, ErrNotSent))
+		_, err = call(t.Context(), p, "Echo") // the failed dial leaves the connection alone
+		is.NoErr(err)
+		is.Equal(n.opened(), 1)
+	})
+}
+
 func TestDialDoesNotDelayCallsBeyondTheirDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
