Entries take a newer configuration from each other

An entry that started after the store came back from an older copy, and before the operator wrote again, served by the older configuration although its peers had the newer one in force.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -70,6 +70,9 @@
 	// OnRegistry, if not nil, is called with the newest state of the registry that a peer
 	// has read.
 	OnRegistry func(at directory.Version)
+	// OnConfig, if not nil, is called with the text of a configuration newer than the own
+	// one that a peer has.
+	OnConfig func(text []byte)
 }
 
 // Handler receives what the peers report.
@@ -121,6 +124,7 @@
 	remotePools map[string]bool
 	// registry is the newest state of the registry that this entry has read.
 	registry directory.Version
+	configs  configs
 	peers    map[string]*peer // by address
 	// originMessages are the messages on streams that wait to be sent, by peer.
 	originMessages map[string]*message
@@ -405,6 +409,7 @@
 	x.seq++
 	m := &message{Incarnation: x.incarnation, Seq: x.seq, Full: true, Uses: map[string]Usage{}}
 	m.RegistryEra, m.RegistryRevision = x.registry.Era, x.registry.Revision
+	m.ConfigVersion = x.configs.version
 	for addr, p := range x.peers {
 		if len(m.Members) < members && p.alive(now, x.timeoutLocked()) {
 			m.Members = append(m.Members, addr)
@@ -575,6 +580,7 @@
 		x.handler.SetRemoteOrigins(software, streams)
 	}
 	x.answerOrigins(from, m.AskedOrigins)
+	x.exchangeConfigs(from, m, now)
 	if m.RegistryRevision > 0 && x.options.OnRegistry != nil {
 		x.options.OnRegistry(directory.Version{Era: m.RegistryEra, Revision: m.RegistryRevision})
 	}
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -188,6 +188,10 @@
 	// of which the sender wants to know; in messages to some peers only.
 	Origins      map[string][]origin.Key `cbor:"12,keyasint,omitempty"`
 	AskedOrigins []origin.Key            `cbor:"13,keyasint,omitempty"`
+	// ConfigVersion is the version of the sender's configuration; in full messages only.
+	ConfigVersion uint64 `cbor:"14,keyasint,omitempty"`
+	// Config is a part of a configuration, or asks for one; in messages to one peer only.
+	Config *configPart `cbor:"15,keyasint,omitempty"`
 	// Leaving is set in the last message of a process that stops.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 }
--- a/test/soak/advice_test.go
+++ b/test/soak/advice_test.go
@@ -88,7 +88,7 @@
 	a.leaving, a.limit, a.closedUntil = false, 0, time.Time{}
 	a.born++
 	a.mu.Unlock()
-	f.store.Put("servers/"+s.id, s.registration("ready"))
+	f.register(s, "ready")
 }
 
 // injectAdvice makes a random server say something of itself, and returns a function that
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -92,6 +93,7 @@
 	entries      []*entry
 	version      int
 	disturbances disturbances
+	copies       []standin.Copy // of the store, to be restored
 }
 
 // newFleet starts a fleet. Each seed has its own network of loopback addresses,
@@ -192,13 +194,18 @@
 		prefillServers.Store(s.link.addr(), s)
 	}
 	f.servers = append(f.servers, s)
-	f.store.Put("servers/"+id, s.registration("ready"))
+	f.register(s, "ready")
 }
 
 // configure publishes the next version of the configuration. The versions differ
 // in the timeouts of the routes only, and their numbers are not consecutive.
 func (f *fleet) configure() {
 	f.version += 1 + f.version%3
+	f.publish()
+}
+
+// publish writes the configuration to the store.
+func (f *fleet) publish() {
 	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": path, "host": "h.example", "path_prefix": path, "kind": kind, "service": service, "timeout_ms": 3000 + f.version,
@@ -246,6 +253,9 @@
 		f.store.Fail(standin.Faults{Status: http.StatusServiceUnavailable})
 		return "store unavailable", func() { f.store.Fail(standin.Faults{}) }
 	case 10:
+		if rnd.IntN(2) == 0 {
+			return f.restoreStore(rnd)
+		}
 		f.store.Compact()
 		return "store compaction", nil
 	case 11:
@@ -260,6 +270,33 @@
 	}
 }
 
+// maxCopies is the number of copies of the store that are kept, one from before each fault.
+const maxCopies = 8
+
+// restoreStore has the store come back from an earlier copy. The leaving server writes again at
+// once, the operator and the other servers when the fault ends.
+func (f *fleet) restoreStore(rnd *rand.Rand) (name string, end func()) {
+	f.store.Restore(f.copies[rnd.IntN(len(f.copies))])
+	f.copies = nil
+	f.register(f.servers[leavingServer], "draining")
+	return "store restored", func() {
+		f.publish()
+		for i, s := range f.servers {
+			if i != leavingServer {
+				f.register(s, "ready")
+			}
+		}
+	}
+}
+
+// leavingServer is the index of the server that leaves while a seed is played.
+const leavingServer = 2
+
+// register writes a server's registration to the store.
+func (f *fleet) register(s *server, state string) {
+	f.store.Put("servers/"+s.id, s.registration(state))
+}
+
 // linkFault injects a fault of a link.
 func (f *fleet) linkFault(l *link, kind int, rnd *rand.Rand) (name string, end func()) {
 	switch kind {
@@ -335,13 +372,14 @@
 	c := newCallers(f)
 	done := make(chan struct{})
 	go func() { c.run(ctx, seed, callerCount); close(done) }()
-	f.startDraining(f.servers[2]) // in addition to the random faults
+	f.startDraining(f.servers[leavingServer]) // in addition to the random faults
 	type activeFault struct {
 		end func()
 		at  time.Time
 	}
 	var active []activeFault
 	for until := time.Now().Add(*length); time.Now().Before(until); time.Sleep(time.Duration(50+rnd.IntN(250)) * time.Millisecond) {
+		f.copies = append(f.copies[max(0, len(f.copies)+1-maxCopies):], f.store.Copy())
 		name, end := f.injectFault(rnd)
 		t.Logf("%v: %s", time.Until(until).Round(time.Millisecond), name)
 		if end != nil {
@@ -402,7 +440,7 @@
 	s.mu.Lock()
 	s.drainNoticedBy = time.Now().Add(*length) // the store may be unavailable until the faults end
 	s.mu.Unlock()
-	f.store.Put("servers/"+s.id, s.registration("draining"))
+	f.register(s, "draining")
 }
 
 // readyLimit is the max time until all entries serve, after the start and after the
@@ -440,6 +478,28 @@
 				f.t.Errorf("entry %d does not serve %s after the faults", entry, path)
 			}
 		}
+		f.checkVersion(f.entries[entry])
+	}
+}
+
+// checkVersion checks that the last published configuration is in force at an entry.
+func (f *fleet) checkVersion(e *entry) {
+	var state struct {
+		Router struct{ Version int } `json:"router"`
+	}
+	for until := time.Now().Add(readyLimit); state.Router.Version != f.version && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/debug/state", e.ip, lastPort))
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(resp.Body).Decode(&state)
+		_ = resp.Body.Close()
+		if err != nil {
+			f.t.Error(err)
+		}
+	}
+	if state.Router.Version != f.version {
+		f.t.Errorf("%s has version %d of the configuration in force, not %d", e.name, state.Router.Version, f.version)
 	}
 }
 
