router: the bound of buffered responses is 1 MiB again

4 MiB of each call would take the memory of a small VM; that a response of exactly 1 MiB is whole, and a longer one neither cut nor repeated, stays.

--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -33,7 +33,7 @@
 	// idempotent call may take while another attempt is allowed.
 	attemptShare = 0.5
 	// maxBody bounds the response that is buffered until it is complete, in bytes.
-	maxBody = 4 << 20
+	maxBody = 1 << 20
 )
 
 // errTooLong is the error of a response that is longer than maxBody. Other servers would
