soak: the platform's wire names move to platform/standin

No wire name stands outside package platform and its stand-ins any more. The soak keeps its logic and judges; requests, answers, registrations, configurations and settings are written and read by platform/standin.

--- a/test/soak/advice_test.go
+++ b/test/soak/advice_test.go
@@ -4,9 +4,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
+
+	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
 // Promises about what servers say of themselves. testStall is time in which the test machine
@@ -51,15 +52,7 @@
 	if id != "" {
 		a.arrivals = append(a.arrivals, got)
 	}
-	if got.limit > 0 {
-		w.Header().Set("Server-Limit", strconv.FormatFloat(got.limit, 'f', 1, 64))
-	}
-	if got.leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	if got.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(got.retryAfter.Seconds(), 'f', 3, 64))
-	}
+	standin.Statement{Limit: got.limit, Leaving: got.leaving, RetryAfter: got.retryAfter}.Write(w.Header())
 	return got.retryAfter > 0
 }
 
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -8,11 +8,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
 // result is what a caller received for one request.
@@ -21,7 +22,7 @@
 	status   int // 0: no answer
 	complete bool
 	body     string
-	proof    string // the header Response-Seal
+	proven   bool // that a server ran this request
 	entry    int
 	sent     time.Time
 	// stream is the ID of the request that began the stream, and after the last event that
@@ -101,24 +102,20 @@
 	if err != nil {
 		panic(err)
 	}
-	req.Host = "h.example"
+	req.Host = host
 	req.GetBody = nil // prevents retries by net/http
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "4000")
+	stated := standin.CallerRequest{ID: id, Deadline: requestTimeout, Resumes: out.stream, LastEvent: out.after}
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
-		req.Header.Set("Token-Usage", "100,864")
+		stated.PromptTokens, stated.MaxTokens = promptTokens, eventCount*eventTokens
 	}
-	switch {
-	case out.stream != "":
-		req.Header.Set("Resumes", out.stream)
-		req.Header.Set("Last-Event-Id", strconv.Itoa(out.after))
-	case strings.HasPrefix(path, "/resumable"):
+	stated.Write(req.Header)
+	if out.stream == "" && strings.HasPrefix(path, "/resumable") {
 		out.stream = id
 	}
 	resp, err := c.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
-		out.status, out.proof = resp.StatusCode, resp.Header.Get("Response-Seal")
+		out.status, out.proven = resp.StatusCode, standin.Proves(resp.Header, id)
 		b, err := io.ReadAll(bufio.NewReader(resp.Body))
 		out.body, out.complete = string(b), err == nil
 	}
@@ -199,8 +196,8 @@
 	if refused && runs > 0 && once {
 		out = append(out, "was refused as not run, but ran")
 	}
-	if r.status >= 200 && r.status < 300 && r.proof != "seal-"+r.id {
-		out = append(out, "has another request's proof: "+r.proof)
+	if r.status >= 200 && r.status < 300 && !r.proven {
+		out = append(out, "has no proof of its request")
 	}
 	if r.status == http.StatusOK && r.complete && !stream && r.body != plainAnswer(r.id, "body of "+r.id) {
 		out = append(out, "received "+r.body)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,6 +43,16 @@
 	gracePeriod  = 8 * time.Second // the setting bounds.grace_s
 )
 
+// Names and sizes of the deployment.
+const (
+	dataCentre   = "dc"
+	host         = "h.example"
+	plainService = "app"
+	modelService = "llm"
+	promptTokens = 100
+	eventTokens  = 72 // tokens of one event
+)
+
 // Ports of the entries; each entry has its own IP address. The ports are below the
 // kernel's ephemeral port range: seed 103 failed once because an outgoing
 // connection used the port of an entry.
@@ -122,26 +132,12 @@
 }
 
 func (e *entry) writeSettings(net string) {
-	text := fmt.Sprintf(`node_name = %q
-ip = %q
-zone = "dc"
-internal_ports = [%d, %d]
-seeds = ["%s1:1", "%s2:1"]
-[listen]
-front = %q
-ready = %q
-[limits]
-memory_mb = 500
-[bounds]
-grace_s = %g
-drain_ms = %d
-retry_budget_ratio = 0.2
-budget_window_s = 10
-budget_slack = 50
-[platform]
-address = %q
-`, e.name, e.ip, firstPort, lastPort, net, net, e.callers, e.ready, gracePeriod.Seconds(), drainTimeout.Milliseconds(), e.fleet.store.link.addr())
-	if err := os.WriteFile(e.settingsFile, []byte(text), 0o600); err != nil {
+	s := standin.NodeSettings{
+		Name: e.name, IP: e.ip, DataCentre: dataCentre, FirstPort: firstPort, LastPort: lastPort, Seeds: []string{net + "1:1", net + "2:1"},
+		Callers: e.callers, Ready: e.ready, MemoryMB: 500, Grace: gracePeriod, Drain: drainTimeout,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.fleet.store.link.addr(),
+	}
+	if err := os.WriteFile(e.settingsFile, []byte(s.Text()), 0o600); err != nil {
 		e.fleet.t.Fatal(err)
 	}
 }
@@ -206,23 +202,16 @@
 
 // publish writes the configuration to the store.
 func (f *fleet) publish() {
-	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": path, "host": "h.example", "path_prefix": path, "kind": kind, "service": service, "timeout_ms": 3000 + f.version,
-			"target_latency_ms": 900, "target_gap_ms": 300, "max_attempts": attempts, "resumable": resumable,
-		}
-	}
-	f.store.Put("op/config", map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("/once/", "unsafe", "app", 1, false), route("/safe/", "safe", "app", 2, false),
-			route("/stream/", "streaming", "llm", 1, false), route("/resumable/", "streaming", "llm", 2, true),
-		},
-		"services": []any{
-			map[string]any{"name": "app", "max_connections": 100},
-			map[string]any{"name": "llm", "max_connections": 100, "engine": map[string]any{"slots": 16, "kv_tokens": 60_000, "kv_hold_s": 0.5, "stride": 72}},
+	f.store.Configure(standin.Config{
+		Version: f.version, Host: host, Timeout: time.Duration(3000+f.version) * time.Millisecond, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond,
+		Routes: []standin.Route{
+			{Path: "/once/", Kind: "unsafe", Service: plainService, Attempts: 1},
+			{Path: "/safe/", Kind: "safe", Service: plainService, Attempts: 2},
+			{Path: "/stream/", Kind: "streaming", Service: modelService, Attempts: 1},
+			{Path: "/resumable/", Kind: "streaming", Service: modelService, Attempts: 2, Resumable: true},
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Plain: plainService, Generating: modelService, MaxConnections: 100, Slots: 16, Memory: 60_000, HandleTTL: 500 * time.Millisecond, EventTokens: eventTokens,
+		HeaderBytes: 16 << 10, BodyBytes: 100_000, HeaderTimeout: 3 * time.Second, CallersIdleTimeout: 15 * time.Second,
 	})
 }
 
@@ -294,7 +283,7 @@
 
 // register writes a server's registration to the store.
 func (f *fleet) register(s *server, state string) {
-	f.store.Put("servers/"+s.id, s.registration(state))
+	f.store.Register(s.registration(state))
 }
 
 // linkFault injects a fault of a link.
@@ -541,18 +530,18 @@
 	for k := 1; k <= eventCount; k++ {
 		whole += event("r", k, "v1")
 	}
-	correct := result{id: "r", path: "/stream/x", status: 200, complete: true, body: whole, proof: "seal-r"}
+	correct := result{id: "r", path: "/stream/x", status: 200, complete: true, body: whole, proven: true}
 	if v := violations(correct, 1); len(v) > 0 {
 		t.Fatal(v)
 	}
 	for name, plant := range map[string]func(*result) int{
 		"ran twice":              func(*result) int { return 2 },
-		"false refusal":          func(r *result) int { r.status, r.proof = 503, ""; return 1 },
-		"another's proof":        func(r *result) int { r.proof = "seal-q"; return 1 },
+		"false refusal":          func(r *result) int { r.status, r.proven = 503, false; return 1 },
+		"another's proof":        func(r *result) int { r.proven = false; return 1 },
 		"event missing":          func(r *result) int { r.body = event("r", 2, "v1"); return 1 },
 		"truncated but complete": func(r *result) int { r.body = event("r", 1, "v1"); return 1 },
 		"another's body":         func(r *result) int { r.path, r.body = "/once/x", plainAnswer("q", ""); return 1 },
-		"route not found":        func(r *result) int { r.status, r.proof = 404, ""; return 0 },
+		"route not found":        func(r *result) int { r.status, r.proven = 404, false; return 0 },
 		"two versions":           func(r *result) int { r.body, r.complete = event("r", 1, "v1")+event("r", 2, "v2"), false; return 1 },
 		"event repeated":         func(r *result) int { r.body, r.complete = event("r", 1, "v1")+event("r", 1, "v1"), false; return 1 },
 	} {
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -85,8 +84,9 @@
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
+	in := standin.ReadServerRequest(r)
+	id := in.ID
+	standin.NameRequest(w.Header(), id)
 	s.mu.Lock()
 	refusing, losesAnswers, noticedBy := s.refusing, s.losesAnswers, s.drainNoticedBy
 	s.mu.Unlock()
@@ -96,31 +96,28 @@
 		s.history.mu.Unlock()
 	}
 	switch {
-	case strings.HasPrefix(r.URL.Path, "/kv-handle/"):
+	case in.Frees:
 		return
-	case r.Header.Get("Target-Instance") != s.id:
+	case in.Instance != s.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case s.advice.answer(w, id) || refusing:
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		standin.RefuseRequest(w)
 		return
-	case r.Header.Get("Serving-Stage") == "prefill":
+	case in.Prefill:
 		s.prefill(w, id)
 		return
-	case s.stage == "decode" && !s.fetchPrefill(r.Header.Get("Kv-Source"), id):
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	case s.stage == "decode" && !s.fetchPrefill(in.Source, id):
+		standin.RefuseRequest(w)
 		return
 	}
 	s.history.recordRun(id)
 	if losesAnswers {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Response-Seal", "seal-"+id)
-	w.Header().Set("Server-Load", "1,0,6")
+	standin.ProveAnswer(w.Header(), id, 1, 0, 6)
 	if s.stage == "decode" {
-		s.stream(w, r, id)
+		s.stream(w, r, in)
 		return
 	}
 	time.Sleep(5 * time.Millisecond)
@@ -137,7 +134,7 @@
 	s.handles[handle] = id
 	s.mu.Unlock()
 	time.AfterFunc(time.Second, func() { s.takeHandle(handle) })
-	_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "tokens": 100, "version": 1})
+	_ = standin.WritePrefilled(w, handle, promptTokens) // fails if the entry disconnected
 }
 
 // takeHandle removes a prefill result and returns the ID of its request, or "" if
@@ -184,10 +181,9 @@
 // breakAfter is the number of events after which servers with breaksStreams break off.
 const breakAfter = 3
 
-func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent: from the start
+func (s *server) stream(w http.ResponseWriter, r *http.Request, in standin.ServerRequest) {
+	from, stream := in.LastEvent, cmp.Or(in.Resumes, in.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
-	stream := cmp.Or(r.Header.Get("Resumes"), id)
 	for k := from + 1; k <= eventCount; k++ {
 		s.mu.Lock()
 		breaks := s.breaksStreams
@@ -204,15 +200,15 @@
 }
 
 // registration returns the server's registration in the store.
-func (s *server) registration(state string) map[string]any {
-	service := "app"
+func (s *server) registration(state string) standin.Registration {
+	service := plainService
 	if s.stage != "" {
-		service = "llm"
+		service = modelService
 	}
 	s.advice.mu.Lock()
 	defer s.advice.mu.Unlock()
-	return map[string]any{
-		"service": service, "address": s.link.addr(), "zone": "dc", "slots": 8, "state": state, "stage": s.stage, "version": s.software, "born": s.advice.born,
+	return standin.Registration{
+		ID: s.id, Service: service, Address: s.link.addr(), DataCentre: dataCentre, Slots: 8, State: state, Stage: s.stage, Software: s.software, Born: s.advice.born,
 	}
 }
 
