--- /dev/null
+++ b/internal/router/crash_test.go
@@ -0,0 +1,209 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/router"
+	"github.com/samphirestream/samphirestream/internal/upstream"
+)
+
+// Timing of servers that crash.
+const (
+	// crashDelay is the time from the start of the fatal request to the crash.
+	crashDelay = 60 * time.Millisecond
+	// restartTime is the time from a crash to the next boot.
+	restartTime = 3 * time.Second
+	eventGap    = 50 * time.Millisecond
+	// settled is the time after the last crash that is allowed from which the fatal
+	// requests must be known.
+	settled = 3 * time.Second
+)
+
+// crashingServers are the decode or plain servers of a region that end under some requests
+// and start again.
+type crashingServers struct {
+	region *region
+	fatal  func(c *router.Call) bool
+	events int // of each stream
+
+	mu       sync.Mutex // guards the fields below
+	boots    map[string]chan struct{}
+	crashes  []time.Time
+	arrivals []time.Time // of fatal requests
+	sent     []soundCall
+}
+
+// soundCall is a request that crashes nothing.
+type soundCall struct {
+	at     time.Time
+	answer *recordedAnswer
+}
+
+// newCrashingServers makes some servers of a region end under fatal requests.
+func newCrashingServers(g *region, ids []string, fatal func(c *router.Call) bool) *crashingServers {
+	s := &crashingServers{region: g, fatal: fatal, events: 30, boots: map[string]chan struct{}{}}
+	g.servers.arrived = func(o *router.OutgoingCall) {
+		if fatal(o.Call) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.arrivals = append(s.arrivals, time.Now())
+		}
+	}
+	for _, id := range ids {
+		s.boots[id] = make(chan struct{})
+		g.servers.set(id, func(_ context.Context, o *router.OutgoingCall) (*router.Reply, error) { return s.run(id, o) })
+	}
+	return s
+}
+
+// run runs a request at a server.
+func (s *crashingServers) run(id string, o *router.OutgoingCall) (*router.Reply, error) {
+	s.mu.Lock()
+	boot := s.boots[id]
+	s.mu.Unlock()
+	if s.fatal(o.Call) {
+		time.AfterFunc(crashDelay, func() { s.crash(id, boot) })
+	}
+	if strings.HasPrefix(o.Call.Path, "/safe/") {
+		select {
+		case <-boot:
+			return nil, &upstream.Error{Progress: upstream.Unanswered, Err: io.ErrUnexpectedEOF}
+		case <-time.After(crashDelay + 10*time.Millisecond):
+			return reply(200, strings.NewReader("ok")), nil
+		}
+	}
+	body, w := io.Pipe()
+	go func() {
+		for i := range s.events {
+			select {
+			case <-boot:
+				_ = w.CloseWithError(&upstream.Error{Progress: upstream.Broken, Err: io.ErrUnexpectedEOF})
+				return
+			case <-time.After(eventGap):
+			}
+			if !s.fatal(o.Call) {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i) // the reader's end is the router's
+			}
+		}
+		_ = w.Close() // a pipe's Close returns no error
+	}()
+	return reply(200, body), nil
+}
+
+// crash ends a boot of a server and starts the next one after restartTime.
+func (s *crashingServers) crash(id string, boot chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.boots[id] != boot {
+		return // ended before
+	}
+	s.crashes = append(s.crashes, time.Now())
+	s.boots[id] = nil
+	s.region.servers.setReachable(id, false)
+	close(boot)
+	time.AfterFunc(restartTime, func() {
+		s.mu.Lock()
+		s.boots[id] = make(chan struct{})
+		s.mu.Unlock()
+		s.region.servers.setReachable(id, true)
+		for _, d := range s.region.directories {
+			next := *d.Current().Servers[id]
+			next.Started += restartTime.Milliseconds()
+			next.Version.Revision++
+			d.Put(&next)
+		}
+	})
+}
+
+// play sends calls at a steady rate to the entries in turn. next makes the i-th call.
+func (s *crashingServers) play(perSecond float64, d time.Duration, next func(i int) *router.Call) *sync.WaitGroup {
+	all := &sync.WaitGroup{}
+	all.Go(func() {
+		for i := range int(perSecond * d.Seconds()) {
+			time.Sleep(time.Duration(float64(time.Second) / perSecond))
+			c, entry := next(i), s.region.entries[i*7%len(s.region.entries)]
+			all.Go(func() {
+				a := serve(context.Background(), entry, c)
+				if !s.fatal(c) {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.sent = append(s.sent, soundCall{c.Arrived, a})
+				}
+			})
+		}
+	})
+	return all
+}
+
+// after returns the fatal requests that reached servers later than settled after the crash
+// number allowed, and the share of the sound requests that were served from twice that time
+// after it (after the last crash, if there were fewer).
+func (s *crashingServers) after(allowed int) (late int, served float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.crashes) == 0 {
+		return 0, 1
+	}
+	last := s.crashes[min(allowed, len(s.crashes))-1]
+	for _, t := range s.arrivals {
+		if len(s.crashes) >= allowed && t.Sub(last) > settled {
+			late++
+		}
+	}
+	sound := slices.DeleteFunc(slices.Clone(s.sent), func(c soundCall) bool { return c.at.Sub(last) < 2*settled })
+	for _, c := range sound {
+		if c.answer.status == 200 && !c.answer.aborted {
+			served++
+		}
+	}
+	return late, served / float64(len(sound))
+}
+
+// withParts returns a call to a model whose prompt has the given shared parts.
+func withParts(path string, parts ...string) *router.Call {
+	c := newCall(path)
+	c.SharedParts = parts
+	return c
+}
+
+// TestPromptPartThatCrashesServersIsNotSentAgain has requests of which no two are alike
+// crash decode servers by one part that they share. Sound requests share their other parts.
+func TestPromptPartThatCrashesServersIsNotSentAgain(t *testing.T) {
+	fatal := func(c *router.Call) bool { return slices.Contains(c.SharedParts, "fatal") }
+	for name, test := range map[string]struct {
+		entries    int
+		path       string
+		bad, sound func(i int) []string
+	}{
+		"the first part is common": {5, "/resumable/x", func(int) []string { return []string{"common", "fatal"} }, func(int) []string { return []string{"common"} }},
+		"the first part differs":   {5, "/resumable/x", func(i int) []string { return []string{fmt.Sprint(i), "fatal"} }, func(i int) []string { return []string{fmt.Sprint(i)} }},
+		"one entry":                {1, "/resumable/x", func(int) []string { return []string{"common", "fatal"} }, func(int) []string { return []string{"common"} }},
+		"not resumable":            {5, "/stream/x", func(int) []string { return []string{"common", "fatal"} }, func(int) []string { return []string{"common"} }},
+		"many parts":               {5, "/resumable/x", func(i int) []string { return []string{"common", "fatal", fmt.Sprint(i % 3), "end"} }, func(i int) []string { return []string{"common", fmt.Sprint(i % 3), "end"} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, test.entries, func(t *testing.T, g *region) {
+				is := is.New(t)
+				s := newCrashingServers(g, decodeServers, fatal)
+				sound := s.play(4, 40*time.Second, func(i int) *router.Call { return withParts(test.path, test.sound(i)...) })
+				time.Sleep(3 * time.Second)
+				bad := s.play(2, 35*time.Second, func(i int) *router.Call { return withParts(test.path, test.bad(i)...) })
+				bad.Wait()
+				sound.Wait()
+				late, served := s.after(5)
+				t.Logf("%d crashes, %d late arrivals, %.2f of the sound requests served", len(s.crashes), late, served)
+				is.True(late <= 3)
+				is.True(served >= 0.95)
+			})
+		})
+	}
+}
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -35,6 +35,8 @@
 	timesLeft   []time.Duration // of all calls
 	// prefillTime is how long a prefill takes.
 	prefillTime time.Duration
+	// arrived, if not nil, is called with each call and prefill that reaches a server.
+	arrived func(o *router.OutgoingCall)
 	// slowProbe makes Probe block until its context ends.
 	slowProbe bool
 }
@@ -81,6 +83,21 @@
 	}
 }
 
+// setReachable makes a server take or refuse connections.
+func (f *fakeServers) setReachable(id string, reachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable[id] = !reachable
+}
+
+// arrive records a call or a prefill that reaches a server.
+func (f *fakeServers) arrive(o *router.OutgoingCall, what string) {
+	f.record(what)
+	if f.arrived != nil {
+		f.arrived(o)
+	}
+}
+
 var errRefusedConnection = &upstream.Error{Progress: upstream.NotSent, Err: errors.New("connection refused")}
 
 func (f *fakeServers) Call(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
@@ -91,7 +108,7 @@
 	if unreachable {
 		return nil, errRefusedConnection
 	}
-	f.record(o.Server.ID)
+	f.arrive(o, o.Server.ID)
 	if b == nil {
 		b = ok("ok")
 	}
@@ -107,7 +124,7 @@
 	if unreachable {
 		return nil, nil, errRefusedConnection
 	}
-	f.record("prefill " + o.Server.ID)
+	f.arrive(o, "prefill "+o.Server.ID)
 	if b != nil {
 		reply, err := b(ctx, o)
 		return nil, reply, err
