router: logs tell repetitions of a request and the calls at a server that broke one off

"attempt failed" has a fingerprint of the request and the number of calls at the server now. No decision has changed.

--- a/internal/router/blame.go
+++ b/internal/router/blame.go
@@ -33,6 +33,14 @@
 	return blame.NewKey("request", c.Host, c.Method, c.Target, string(c.Body), strings.Join(c.SharedParts, ","), c.OwnPart)
 }
 
+// fingerprint returns a text that repetitions of the call have in common, for logs.
+func (x *exchange) fingerprint() string {
+	k := identityOf(x.call)
+	return hex.EncodeToString(k[:fingerprintBytes])
+}
+
+const fingerprintBytes = 6
+
 // errEndsServers is the error of a call that no server may run, since servers end under
 // calls like it.
 var errEndsServers = errors.New("servers have ended under requests like this one")
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -153,7 +153,7 @@
 
 // plainError records an attempt without a response.
 func (x *exchange) plainError(ctx context.Context, b *backend, err error) plainOutcome {
-	x.warn("attempt failed", "server", b.Name(), "err", err)
+	x.warn("attempt failed", "server", b.Name(), "fingerprint", x.fingerprint(), "in_flight", b.localCalls.Load()+b.remoteCalls.Load(), "err", err)
 	if upstream.ProgressOf(err) == upstream.NotSent {
 		if ctx.Err() == nil {
 			x.suspect(b, err)
