--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -210,6 +210,34 @@
 	}
 }
 
+// TestRequestThatCrashesServersIsNotSentAgain has one request come again and again and end
+// each plain server that runs it.
+func TestRequestThatCrashesServersIsNotSentAgain(t *testing.T) {
+	fatal := func(c *router.Call) bool { return c.Target == "/safe/x?fatal" }
+	for name, entries := range map[string]int{"five entries": 5, "one entry": 1} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, entries, func(t *testing.T, g *region) {
+				is := is.New(t)
+				s := newCrashingServers(g, plainServers, fatal)
+				plain := func(query string) *router.Call {
+					c := newCall("/safe/x")
+					c.Target += query
+					return c
+				}
+				sound := s.play(20, 40*time.Second, func(i int) *router.Call { return plain(fmt.Sprint("?", i)) })
+				time.Sleep(3 * time.Second)
+				bad := s.play(2, 35*time.Second, func(int) *router.Call { return plain("?fatal") })
+				bad.Wait()
+				sound.Wait()
+				late, served := s.after(3)
+				t.Logf("%d crashes, %d late arrivals, %.2f of the sound requests served", len(s.crashes), late, served)
+				is.True(late <= 3)
+				is.True(served >= 0.95)
+			})
+		})
+	}
+}
+
 // TestServersThatEndForOtherReasonsBlameNoRequest ends servers at random, and all of a data
 // centre at once, under requests that share a part.
 func TestServersThatEndForOtherReasonsBlameNoRequest(t *testing.T) {
