--- a/bench/role_test.go
+++ b/bench/role_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/settings"
 	"github.com/samphirestream/samphirestream/internal/standin"
+	"github.com/samphirestream/samphirestream/internal/testaddr"
 )
 
 // Size of the role benchmark.
@@ -53,6 +53,7 @@
 	dir         string
 	daemon      string
 	configURL   string
+	addrs       *testaddr.Host
 	callersAddr string
 	note        release.Note
 	entry       *process
@@ -168,7 +169,8 @@
 
 func startRoleFleet(b *testing.B, tune func(*standin.EngineConfig)) *roleFleet {
 	b.Helper()
-	f := &roleFleet{b: b, tune: tune, dir: b.TempDir(), callersAddr: freeAddress(b)}
+	addrs := testaddr.Reserve(b)
+	f := &roleFleet{b: b, tune: tune, dir: b.TempDir(), addrs: addrs, callersAddr: addrs.Addr()}
 	f.daemon = filepath.Join(f.dir, "samphired")
 	if out, err := exec.Command("go", "build", "-o", f.daemon, "../cmd/samphired").CombinedOutput(); err != nil {
 		b.Fatalf("building samphired: %v\n%s", err, out)
@@ -205,7 +207,7 @@
 	name := fmt.Sprintf("server-%d", i)
 	cfg := standin.DefaultEngineConfig(name, string(role), roleModel)
 	f.tune(&cfg)
-	peers := freeAddress(f.b)
+	peers := f.addrs.Addr()
 	f.note.Added.BackendServers = append(f.note.Added.BackendServers, release.BackendServer{
 		Name: name, DataCentre: "dc", Agent: peers, Role: role, Models: []string{roleModel},
 	})
@@ -221,9 +223,9 @@
 	s.Platform.ConfigService = f.configURL
 	s.InsecurePlaintext = true
 	s.TicketKey = "00112233445566778899aabbccddeeff"
-	s.Listen.Admin = freeAddress(f.b)
+	s.Listen.Admin = f.addrs.Addr()
 	if s.Listen.Peers == "" {
-		s.Listen.Peers = freeAddress(f.b)
+		s.Listen.Peers = f.addrs.Addr()
 	}
 	raw, err := yaml.Marshal(s)
 	if err != nil {
@@ -284,14 +286,3 @@
 	pages, _ := strconv.ParseInt(strings.Fields(string(statm))[1], 10, 64)
 	return pages * int64(os.Getpagesize())
 }
-
-// freeAddress returns a loopback address that was free when it was checked.
-func freeAddress(b *testing.B) string {
-	b.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -6,11 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +21,7 @@
 	"github.com/samphirestream/samphirestream/internal/release"
 	"github.com/samphirestream/samphirestream/internal/settings"
 	"github.com/samphirestream/samphirestream/internal/standin"
+	"github.com/samphirestream/samphirestream/internal/testaddr"
 )
 
 // pollTimeout ends a test that hangs. No invariant depends on it.
@@ -35,8 +34,6 @@
 	model     = "reader@1"
 	key       = "integration-key"
 	ticketKey = "00112233445566778899aabbccddeeff"
-	firstPort = 10_001
-	lockPort  = 10_000
 )
 
 // plan describes a fleet.
@@ -83,9 +80,7 @@
 	scenario string // what is being tested, for messages
 	plan     plan
 	dir      string
-	ip       string
-	nextPort int
-	ipLock   net.Listener
+	addrs    *testaddr.Host
 	tlsFiles settings.TLS
 	recorder *invariant.Recorder
 	logs     []string
@@ -112,13 +107,13 @@
 func newFleet(t testing.TB, p plan) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, plan: p, dir: t.TempDir(), nextPort: firstPort,
+		t: t, plan: p, dir: t.TempDir(),
 		processByName: map[string]*process{}, adminURLs: map[string]string{}, controlURLs: map[string]string{},
 		links: map[string]*link{}, stopWatchers: make(chan struct{}),
 		http: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	f.acquireProcessSlots()
-	f.reserveIP()
+	f.addrs = testaddr.Reserve(t)
 	t.Cleanup(f.dispose)
 	if p.tls {
 		f.tlsFiles = newTLSFiles(t, f.dir)
@@ -179,34 +174,6 @@
 	f.t.Cleanup(func() { processSlots.Release(n) })
 }
 
-var ips struct {
-	sync.Mutex
-	next int
-}
-
-// reserveIP reserves a loopback address for the fleet. It listens on lockPort, so
-// that no fleet of this or another test process reserves the same address.
-func (f *fleet) reserveIP() {
-	ips.Lock()
-	defer ips.Unlock()
-	for range 250 {
-		ips.next++
-		f.ip = fmt.Sprintf("127.%d.%d.1", 2+os.Getpid()%250, 1+ips.next%250)
-		ln, err := net.Listen("tcp", net.JoinHostPort(f.ip, strconv.Itoa(lockPort)))
-		if err == nil {
-			f.ipLock = ln
-			return
-		}
-	}
-	f.t.Fatal("no free loopback address")
-}
-
-// newAddr returns an address with a port that the fleet does not use yet.
-func (f *fleet) newAddr() string {
-	f.nextPort++
-	return net.JoinHostPort(f.ip, strconv.Itoa(f.nextPort))
-}
-
 func (f *fleet) openRecorder() {
 	file := filepath.Join(f.dir, "harness.jsonl")
 	r, err := invariant.OpenRecorder(file)
@@ -222,7 +189,7 @@
 }
 
 func (f *fleet) startPlatform() {
-	addr := f.newAddr()
+	addr := f.addrs.Addr()
 	f.platform = "http://" + addr
 	f.spawn(&process{name: "platform", program: standins, args: []string{"-kind", "platform", "-listen", addr}})
 	f.await("start of the platform", func() bool { return f.get(f.platform+"/v1/head", nil) == nil })
@@ -240,14 +207,14 @@
 // sourceOf returns the source of a connection by the node name in its hello; it
 // is nil if connections need not be told apart.
 func (f *fleet) link(name, server, upstream string, sourceOf func(node string) string) string {
-	addr := f.newAddr()
+	addr := f.addrs.Addr()
 	f.links[name] = newLink(f.t, f, name, server, addr, upstream, sourceOf)
 	return addr
 }
 
 // addServer starts a backend server with its agent.
 func (f *fleet) addServer(s serverPlan) {
-	backend := f.newAddr()
+	backend := f.addrs.Addr()
 	log := filepath.Join(f.dir, s.name+".jsonl")
 	f.logs = append(f.logs, log)
 	args := []string{"-name", s.name, "-listen", backend, "-log", log}
@@ -263,7 +230,7 @@
 	f.controlURLs[s.name] = "http://" + backend
 	backendLink := f.link("link:backend:"+s.name, s.name, backend, nil)
 
-	peers := f.newAddr()
+	peers := f.addrs.Addr()
 	sourceOf := f.dcOf
 	if f.plan.tls {
 		sourceOf = nil // the hello is encrypted
@@ -290,7 +257,7 @@
 
 func (f *fleet) addEntry(name, dc string) {
 	s := f.settings(settings.RoleEntry, name, dc)
-	s.Listen.Callers, s.Listen.Peers = f.newAddr(), f.newAddr()
+	s.Listen.Callers, s.Listen.Peers = f.addrs.Addr(), f.addrs.Addr()
 	f.callerURLs = append(f.callerURLs, "http://"+s.Listen.Callers)
 	f.spawnDaemon(s, "")
 	f.vms = append(f.vms, controlplane.VM{
@@ -304,7 +271,7 @@
 	config := f.link("link:platform:"+name, "", f.platform[len("http://"):], nil)
 	s := &settings.Settings{
 		Role: role, Node: name, DataCentre: dc, Region: "coast",
-		Listen:            settings.Listen{Admin: f.newAddr()},
+		Listen:            settings.Listen{Admin: f.addrs.Addr()},
 		Platform:          settings.Platform{ConfigService: "http://" + config, VMList: "http://" + config, WeightStore: "http://" + config},
 		TLS:               f.tlsFiles,
 		InsecurePlaintext: !f.plan.tls,
@@ -601,9 +568,6 @@
 	for _, l := range f.links {
 		l.close()
 	}
-	if f.ipLock != nil {
-		_ = f.ipLock.Close()
-	}
 	if f.t.Failed() {
 		for _, p := range f.processes {
 			f.t.Logf("== %s\n%s", p.name, p.tail(3000))
--- a/test/integration/link_test.go
+++ b/test/integration/link_test.go
@@ -147,7 +147,7 @@
 		return p, nil
 	}
 	p := toxiproxy.NewProxy()
-	p.Name, p.Listen, p.Upstream = l.name, l.fleet.ip+":0", l.upstream
+	p.Name, p.Listen, p.Upstream = l.name, l.fleet.addrs.IP+":0", l.upstream
 	if err := p.Start(); err != nil {
 		return nil, err
 	}
