--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -100,8 +100,8 @@
 	retention = time.Hour
 	// maxEnds, maxRequests and maxSurvived bound the memory: ends, requests of one end, and
 	// causes of each half of retention that servers survived.
-	maxEnds     = 128
-	maxRequests = 64
+	maxEnds     = 64
+	maxRequests = 32
 	maxSurvived = 20_000
 	// maxServers is the number of servers that a blame names.
 	maxServers = 5
