upstream: what a server sends before the body of an answer is bounded

A faulty server may send bytes that are no answer without an end. The header of an answer was read to its end, however long: an entry would run out of memory, or work on it until the deadline, as with interim responses and responses to other requests. At most 1 MiB is read before a body now; then the connection is closed and the request counts as unanswered. Bodies were bounded before (events, plain answers, prefills), which stays.

TestEndlessAnswersAreCutOff failed before in six of seven cases (the seventh, stray responses, were counted already): nothing was cut off within 5 s.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -213,7 +213,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{net: nc, addr: addr, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	cn := &conn{net: nc, addr: addr}
+	cn.r = bufio.NewReaderSize(&cn.preamble, readBuffer)
+	cn.preamble.r = nc
+	return cn, nil
 }
 
 // Probe opens a connection, which the next request to the address uses. It fails if
@@ -304,6 +307,8 @@
 	net  net.Conn
 	addr string
 	r    *bufio.Reader
+	// preamble bounds what r reads of the connection before the body of an answer.
+	preamble preambleReader
 	// idleSince is the time at which the connection became idle, and reuseUntil the
 	// time until which it may be reused.
 	idleSince  time.Time
@@ -325,12 +330,44 @@
 	return cn.r.Buffered() == 0 && openWithoutData(cn.net)
 }
 
+// maxPreambleBytes bounds what is read before the body of an answer: its header, interim
+// responses and responses to other requests. A faulty server may send bytes without end.
+const maxPreambleBytes = 1 << 20
+
+var errPreambleTooLong = errors.Errorf("no answer within %d bytes", maxPreambleBytes)
+
+// preambleReader fails after maxPreambleBytes while it is limited.
+type preambleReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+// limit begins the preamble of an answer, and unlimit ends it.
+func (p *preambleReader) limit()   { p.limited, p.left = true, maxPreambleBytes }
+func (p *preambleReader) unlimit() { p.limited = false }
+
+// Read implements io.Reader.
+func (p *preambleReader) Read(b []byte) (int, error) {
+	if !p.limited {
+		return p.r.Read(b)
+	}
+	if p.left <= 0 {
+		return 0, errPreambleTooLong
+	}
+	n, err := p.r.Read(b)
+	p.left -= n
+	return n, err
+}
+
 // maxStrays is the maximum number of responses to other requests that are skipped.
 const maxStrays = 3
 
 // readResponse reads the response to a request. It skips interim responses and
 // responses to other requests.
 func (cn *conn) readResponse(r *Request) (*http.Response, error) {
+	cn.preamble.limit()
+	defer cn.preamble.unlimit()
 	for strays := 0; strays <= maxStrays; {
 		resp, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
 		if err != nil {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -209,3 +209,46 @@
 		is.True(!ok)
 	}
 }
+
+// TestEndlessAnswersAreCutOff has servers send bytes without an end before there is an answer,
+// until the client closes the connection.
+func TestEndlessAnswersAreCutOff(t *testing.T) {
+	for name, answer := range map[string]struct{ first, then string }{
+		"status line":       {"HTTP/1.1 200 ", "x"},
+		"header line":       {"HTTP/1.1 200 OK\r\nName: ", "x"},
+		"header":            {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"stray body":        {"HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nxx\r\n"},
+		"stray responses":   {"", "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 0\r\n\r\n"},
+		"no answer":         {"", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sent := make(chan int, 1)
+			addr := scriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+				respond(c, r, answer.first)
+				n := 0
+				for chunk := []byte(strings.Repeat(answer.then, 1000)); ; {
+					written, err := c.Write(chunk)
+					if n += written; err != nil {
+						break
+					}
+				}
+				sent <- n
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			resp, err := testClient().Send(ctx, addr, &Request{
+				Method: http.MethodGet, Target: "/", Host: "h",
+				Matches: func(h http.Header) bool { return h.Get("Id") == "" },
+			})
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			is.True(err != nil)
+			is.NoErr(ctx.Err()) // cut off by its size, not by the time
+			const socketBuffers = 16 << 20
+			is.True(<-sent < maxPreambleBytes+socketBuffers)
+		})
+	}
+}
