soak: requests end the servers that run them

Servers of the soak ended streams and connections by a clock of their own, never by what they ran, so that it could not tell a router that remembers from one that does not. After the calm phase, one content comes again and again and different requests share a part of their prompts, up to three at once; the server that runs one resets its connections, refuses new ones for 1.5 s and is back as a new boot. It judges what servers saw: no more than three arrivals later than 3 s after the third end (fifth for a part), and sound requests served at least half as often as before. Links have addresses that nobody can take while they are shut.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -29,6 +29,8 @@
 	// the caller had; "" and 0 for other requests.
 	stream string
 	after  int
+	// content and part, if not "", are the body, and a part of the prompt.
+	content, part string
 }
 
 // callers send requests to the entries over persistent connections and store the
@@ -98,7 +100,7 @@
 	id, path, entry := out.id, out.path, out.entry
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.entries[entry].callers+path, strings.NewReader("body of "+id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.entries[entry].callers+path, strings.NewReader(cmp.Or(out.content, "body of "+id)))
 	if err != nil {
 		panic(err)
 	}
@@ -107,6 +109,10 @@
 	stated := standin.CallerRequest{ID: id, Deadline: requestTimeout, Resumes: out.stream, LastEvent: out.after}
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
 		stated.PromptTokens, stated.MaxTokens = promptTokens, eventCount*eventTokens
+		stated.Parts = []string{commonPart, id}
+		if out.part != "" {
+			stated.Parts = []string{commonPart, out.part, id}
+		}
 	}
 	stated.Write(req.Header)
 	if out.stream == "" && strings.HasPrefix(path, "/resumable") {
@@ -146,13 +152,16 @@
 			t.Error(broken)
 		}
 	}
+	for _, broken := range c.fleet.fatal.judge(c.results) {
+		t.Error(broken)
+	}
 	for _, broken := range mixedStreams(c.results) {
 		t.Error(broken)
 	}
 	for _, l := range h.late {
 		t.Errorf("request %s: sent to a server that had drained", l)
 	}
-	t.Logf("%d requests, %d answered whole; %s", len(c.results), whole, takenUp(c.results))
+	t.Logf("%d requests, %d answered whole; %s; %s", len(c.results), whole, takenUp(c.results), c.fleet.fatal.String())
 }
 
 // takenUp tells how many streams were taken up and went on.
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -10,10 +10,10 @@
 
 // link is a loopback proxy in front of one address that can inject faults.
 type link struct {
-	ln       net.Listener
-	upstream string
+	addr, upstream string
 
-	mu    sync.Mutex
+	mu    sync.Mutex // guards the fields below
+	ln    net.Listener
 	delay time.Duration
 	cut   bool // new connections are reset
 	conns map[*proxiedConn]bool
@@ -27,23 +27,39 @@
 	blackholeUp, blackholeDown bool
 }
 
-func newLink(t *testing.T, upstream string) *link {
+func newLink(t *testing.T, addr, upstream string) *link {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	l := &link{addr: addr, upstream: upstream, conns: map[*proxiedConn]bool{}}
+	if err := l.open(); err != nil {
 		t.Fatal(err)
 	}
-	l := &link{ln: ln, upstream: upstream, conns: map[*proxiedConn]bool{}}
-	go l.accept()
-	t.Cleanup(func() { _ = ln.Close(); l.reset() })
+	t.Cleanup(l.shut)
 	return l
 }
 
-func (l *link) addr() string { return l.ln.Addr().String() }
+// open takes connections, and shut refuses them and resets the open ones.
+func (l *link) open() error {
+	ln, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.ln = ln
+	l.mu.Unlock()
+	go l.accept(ln)
+	return nil
+}
+
+func (l *link) shut() {
+	l.mu.Lock()
+	_ = l.ln.Close() // it may be shut already
+	l.mu.Unlock()
+	l.reset()
+}
 
-func (l *link) accept() {
+func (l *link) accept(ln net.Listener) {
 	for {
-		down, err := l.ln.Accept()
+		down, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphirestream/samphirestream/internal/testaddr"
 	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
@@ -99,6 +100,8 @@
 	t            *testing.T
 	name         string
 	history      *history
+	host         *testaddr.Host // of the servers and the store
+	fatal        fatalRequests
 	store        *store
 	servers      []*server
 	entries      []*entry
@@ -110,7 +113,8 @@
 // newFleet starts a fleet. Each seed has its own network of loopback addresses,
 // since all entries use the same ports.
 func newFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, name: fmt.Sprint("seed", seed), history: &history{runs: map[string]int{}}, store: newStore(t), disturbances: disturbances{all: map[string][]time.Time{}}}
+	addrs := testaddr.Reserve(t)
+	f := &fleet{t: t, name: fmt.Sprint("seed", seed), host: addrs, history: &history{runs: map[string]int{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
 	for i, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
 		f.addServer(fmt.Sprintf("s%d", i), stage)
 	}
@@ -136,7 +140,7 @@
 	s := standin.NodeSettings{
 		Name: e.name, IP: e.ip, DataCentre: dataCentre, FirstPort: firstPort, LastPort: lastPort, Seeds: []string{net + "1:1", net + "2:1"},
 		Callers: e.callers, Ready: e.ready, MemoryMB: 500, Grace: gracePeriod, Drain: drainTimeout,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.fleet.store.link.addr(),
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.fleet.store.link.addr,
 	}
 	if err := os.WriteFile(e.settingsFile, []byte(s.Text()), 0o600); err != nil {
 		e.fleet.t.Fatal(err)
@@ -186,9 +190,9 @@
 }
 
 func (f *fleet) addServer(id, stage string) {
-	s := newServer(f.t, f.history, id, stage)
+	s := newServer(f, id, stage)
 	if stage == "prefill" {
-		prefillServers.Store(s.link.addr(), s)
+		prefillServers.Store(s.link.addr, s)
 	}
 	f.servers = append(f.servers, s)
 	f.register(s, "ready")
@@ -385,6 +389,7 @@
 	}
 	f.awaitReady()
 	f.adviceOnly(rnd)
+	f.crashOnly(rnd, c)
 	cancel()
 	<-done
 	f.checkRecovery(c)
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphirestream/samphirestream/internal/testaddr"
 	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
@@ -41,6 +42,7 @@
 type server struct {
 	id, stage string
 	history   *history
+	fleet     *fleet
 	// software is the version that its registration names.
 	software string
 	advice   advice
@@ -65,13 +67,13 @@
 // lastDecode is the server whose software differs from that of the others.
 const lastDecode = "s7"
 
-func newServer(t *testing.T, h *history, id, stage string) *server {
-	s := &server{id: id, stage: stage, history: h, software: "v1", advice: advice{born: 1}, handles: map[string]string{}}
+func newServer(f *fleet, id, stage string) *server {
+	s := &server{id: id, stage: stage, history: f.history, fleet: f, software: "v1", advice: advice{born: 1}, handles: map[string]string{}}
 	if id == lastDecode {
 		s.software = "v2"
 	}
 	s.http = httptest.NewServer(s)
-	s.link = newLink(t, s.http.Listener.Addr().String())
+	s.link = newLink(f.t, f.host.Addr(), s.http.Listener.Addr().String())
 	return s
 }
 
@@ -95,6 +97,9 @@
 		s.history.late = append(s.history.late, id+" at "+s.id)
 		s.history.mu.Unlock()
 	}
+	if kind := fatalKindOf(in, string(body)); kind != "" && !in.Frees {
+		s.fleet.fatal.arrive(kind)
+	}
 	switch {
 	case in.Frees:
 		return
@@ -112,6 +117,9 @@
 		return
 	}
 	s.history.recordRun(id)
+	if s.crashes(r, in, string(body)) {
+		return
+	}
 	if losesAnswers {
 		panic(http.ErrAbortHandler)
 	}
@@ -208,7 +216,7 @@
 	s.advice.mu.Lock()
 	defer s.advice.mu.Unlock()
 	return standin.Registration{
-		ID: s.id, Service: service, Address: s.link.addr(), DataCentre: dataCentre, Slots: 8, State: state, Stage: s.stage, Software: s.software, Born: s.advice.born,
+		ID: s.id, Service: service, Address: s.link.addr, DataCentre: dataCentre, Slots: 8, State: state, Stage: s.stage, Software: s.software, Born: s.advice.born,
 	}
 }
 
@@ -218,7 +226,7 @@
 	link *link
 }
 
-func newStore(t *testing.T) *store {
+func newStore(t *testing.T, host *testaddr.Host) *store {
 	s := standin.NewStore()
-	return &store{Store: s, link: newLink(t, s.Addr())}
+	return &store{Store: s, link: newLink(t, host.Addr(), s.Addr())}
 }
