router: the first runs of a service do not move servers between its stages

Cause: the first change is ordered at once, and with one run the gain that a split must promise is 100%, which a long prompt with a short answer passes.

Change: the demand of the stages is compared from 16 runs on, whose mean deviates by a quarter. A stage that is lost gets servers without.

TestFirstRunsDoNotMoveServers failed before for one run (14 servers) and passes for one to ten.

--- a/internal/router/balance_test.go
+++ b/internal/router/balance_test.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// TestFirstRunsDoNotMoveServers has the first runs of a service be long prompts with short
+// answers, from which its split looks far from best.
+func TestFirstRunsDoNotMoveServers(t *testing.T) {
+	is := is.New(t)
+	for runs := 1.0; runs <= 10; runs++ {
+		d := stageDemand{0.05 * runs, 0.01 * runs, 6, 5, runs}
+		n := 6 - d.bestSplit(6, 19)
+		is.Equal(n, 0)
+		is.True(!(&balance{}).lasting(n, 6*time.Second))
+		is.True(d.bestSplit(25, 0) <= 25-minStageServers) // a lost stage gets servers
+	}
+	is.True(stageDemand{5, 1, 6, 5, 100}.bestSplit(6, 19) > 6)
+}
+
 // TestSplitIsStable checks that the split that a demand leads to is kept for demands
 // that differ by a standard error of the estimate.
 func TestSplitIsStable(t *testing.T) {
--- a/internal/router/split.go
+++ b/internal/router/split.go
@@ -37,6 +37,9 @@
 	// minSplitGain is the fraction by which a split must sustain more load than the present
 	// one, since a server serves nothing while it changes its stage.
 	minSplitGain = 0.05
+	// minSplitRuns is the number of runs from which the demand of the stages can be compared:
+	// before, one long prompt or answer decides. A stage that is lost gets servers without.
+	minSplitRuns = 16
 	// splitDeviations is the number of standard deviations of the estimated demand by
 	// which a gain must exceed its error, so that the split does not follow noise. The
 	// relative deviation of n runs is about 1/sqrt(n).
@@ -58,6 +61,9 @@
 	}
 	present := 0.0 // a stage below its minimum number has to get servers
 	if prefillServers >= minStageServers && decodeServers >= minStageServers {
+		if d.runs < minSplitRuns {
+			return prefillServers
+		}
 		present = d.growth(prefillServers, decodeServers)
 	}
 	most := (1 + d.minGain()) * present
