router: an answer without length is not complete if its server ended with it

An answer, a stream too, may come with neither a length nor chunks and end with its connection. One that a server's end cut off between two events, or anywhere in a plain answer, looked complete; an empty stream did, too. The server is now probed after such an answer, unless it leaves: if it takes no connections any more, the answer counts as broken off and the request is the server's end's evidence.

--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -107,7 +107,10 @@
 	Load *Load
 	// Length is the length of the body, or -1.
 	Length int64
-	Body   io.ReadCloser
+	// Unframed is set when the body has neither a length nor chunks and ends with its
+	// connection.
+	Unframed bool
+	Body     io.ReadCloser
 }
 
 // declined reports whether a refusal has another reason than the server's load. Such
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -368,3 +368,36 @@
 		}
 	})
 }
+
+// TestUnframedAnswerOfAServerThatEndedIsNotComplete has a server end without a reset while an
+// answer without length runs, whose body then only seems to be complete.
+func TestUnframedAnswerOfAServerThatEndedIsNotComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		path, cut, whole string
+		servers          []string
+	}{
+		"plain":                   {"/safe/x", "ha", "half", plainServers},
+		"stream":                  {"/resumable/x", "id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n", decodeServers},
+		"stream without an event": {"/resumable/x", "", "id: 1\ndata: x\n\n", decodeServers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				ended := ""
+				f.setAll(test.servers, func(_ context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+					body := test.whole
+					if ended == "" {
+						body, ended = test.cut, o.Server.ID
+						f.servers.setReachable(ended, false)
+					}
+					r := reply(200, strings.NewReader(body))
+					r.Unframed = true
+					return r, nil
+				})
+				a := f.call(t.Context(), test.path)
+				is.Equal(a.status, 200)
+				is.True(strings.HasSuffix(a.body.String(), test.whole)) // by another server
+			})
+		})
+	}
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -184,6 +184,9 @@
 func (x *exchange) readPlain(ctx context.Context, b *backend, reply *Reply, sent time.Time, callsPerSlot float64) plainOutcome {
 	x.attempts++
 	body, err := readWhole(reply)
+	if err == nil && x.cutOff(b, reply, false) {
+		err = errCutOff
+	}
 	valid := err == nil && reply.Proven
 	ok := valid && reply.Status < 300
 	b.health.recordAnswer(!ok && !errors.Is(err, errTooLong), time.Duration(float64(time.Since(sent))/max(1, callsPerSlot)))
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -71,6 +71,9 @@
 				x.survived()
 			}
 		}
+		if err == io.EOF && len(pending) == 0 && x.cutOff(b, reply, x.lastEvent == "") {
+			err = errCutOff
+		}
 		switch {
 		case err == io.EOF && len(pending) == 0:
 			x.start(reply)
@@ -89,6 +92,19 @@
 	}
 }
 
+// errCutOff is the error of an answer that ended with its server.
+var errCutOff = errors.New("the server ended with its answer, which states no length")
+
+// cutOff reports whether the answer of a server that states no length is not complete: it is
+// empty, or the server has ended without a plan. Whether the connection was closed after the
+// answer or within it does not show otherwise.
+func (x *exchange) cutOff(b *backend, reply *Reply, empty bool) bool {
+	if !reply.Unframed || b.leaving() {
+		return false
+	}
+	return empty || x.router.reach(context.Background(), b) != nil
+}
+
 // streamBroken handles the early end of a stream. A server that crashed has no load
 // and would be chosen first, so it is probed at once: it accepts or refuses the
 // connection within a round trip. eventsBefore is the number of events that the caller had
