blame: recorded ends are not changed while they are read

A report of an end that is earlier than the recorded one changed its time under the lock of the record, while requests read it without one. Each report makes a new value now. TestEvidenceIsReadWhileItGrows failed before under the race detector.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -144,11 +144,13 @@
 func (r *Record) AddEnd(e End) map[Key]time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known, ok := r.ends[e.Boot]
-	if !ok {
-		known = &End{Boot: e.Boot, DataCentre: e.DataCentre, At: e.At}
-		r.ends[e.Boot] = known
+	// The judgement in force refers to the former state, which is read without a lock.
+	known := &End{Boot: e.Boot, DataCentre: e.DataCentre, At: e.At}
+	if former, ok := r.ends[e.Boot]; ok {
+		*known = *former
+		known.Requests = slices.Clip(former.Requests)
 	}
+	r.ends[e.Boot] = known
 	if e.At.Before(known.At) {
 		known.At = e.At
 	}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -228,6 +229,31 @@
 	is.Equal(all[0].Servers, []string{"4", "3", "2", "1", "0"})
 }
 
+// TestEvidenceIsReadWhileItGrows has entries report ends, each earlier than the one before it,
+// while requests are judged.
+func TestEvidenceIsReadWhileItGrows(t *testing.T) {
+	r := NewRecord()
+	q := Request{Own: keys("own"), Shared: keys("fatal")}
+	var all sync.WaitGroup
+	for i := range 4 {
+		all.Go(func() {
+			for n := range 200 {
+				at := began.Add(-time.Duration(n) * time.Millisecond)
+				r.AddEnd(End{Boot: advisory.Boot{ID: fmt.Sprint(n % 5)}, At: at, Requests: []Request{{Own: keys(fmt.Sprint(i, n)), Shared: keys("fatal")}, q}})
+			}
+		})
+		all.Go(func() {
+			for range 2000 {
+				if end, _ := r.Suspected(q, began); end != nil && end.At.After(began) {
+					t.Error("an end is later than it was reported")
+				}
+				r.Blamed(q, began)
+			}
+		})
+	}
+	all.Wait()
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	e := newEvidence()
