Tests: one in-memory network, one setAll

The load exchange's tests had a network of datagrams of their own beside the emulator's. Package memnet serves both; it has lost datagrams and, for the exchange's tests, no latency and the order in which they were sent, as before. setAll stood at two types of the router's tests and is at the servers that it sets. No test or assertion has gone.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
+	"github.com/samphirestream/samphirestream/internal/memnet"
 	"github.com/samphirestream/samphirestream/internal/router"
 	"github.com/samphirestream/samphirestream/internal/sleep"
 )
@@ -105,7 +106,7 @@
 // request has ended.
 func (f *Fleet) Run(ctx context.Context) Result {
 	ctx, cancel := context.WithCancel(ctx)
-	network := NewNetwork()
+	network := memnet.New(memnet.EntryLatency)
 	var background sync.WaitGroup
 	for i := range f.options.Entries {
 		f.start(ctx, network, i, &background)
@@ -134,7 +135,7 @@
 }
 
 // start starts one entry.
-func (f *Fleet) start(ctx context.Context, n *Network, i int, background *sync.WaitGroup) {
+func (f *Fleet) start(ctx context.Context, n *memnet.Network, i int, background *sync.WaitGroup) {
 	addr := func(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1) }
 	dir := directory.New()
 	dir.SetConfig(f.config())
--- a/internal/loadexchange/configs_test.go
+++ b/internal/loadexchange/configs_test.go
@@ -37,9 +37,9 @@
 func TestNewerConfigurationIsTakenFromAPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &network{conns: map[string]*memoryConn{}}
+		n := newNetwork()
 		rnd := rand.New(rand.NewPCG(1, 1))
-		n.setDrop(func(string, string) bool { return rnd.IntN(3) == 0 })
+		n.SetDrop(func(string, string) bool { return rnd.IntN(3) == 0 })
 		const seed = "10.0.0.1:1"
 		a, _ := n.startReader(seed, 1)
 		b, fromB := n.startReader("10.0.0.2:1", 1, seed)
@@ -66,7 +66,7 @@
 func withReaders(t *testing.T, test func(is *is.I, a, b *member, fromA *atomic.Pointer[[]byte])) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{conns: map[string]*memoryConn{}}
+		n := newNetwork()
 		const seed = "10.0.0.1:1"
 		a, _ := n.startReader(seed, 1)
 		b, fromA := n.startReader("10.0.0.2:1", 1, seed)
--- a/internal/loadexchange/ends_test.go
+++ b/internal/loadexchange/ends_test.go
@@ -30,7 +30,7 @@
 
 func (n *network) startRecorder(addr string) *recorder {
 	r := &recorder{Record: blame.NewRecord()}
-	r.Exchange = New(n.listen(addr), Options{Self: addr, Seeds: []string{"10.0.0.1:7"}}, log.NewNopLogger())
+	r.Exchange = New(n.Listen(addr), Options{Self: addr, Seeds: []string{"10.0.0.1:7"}}, log.NewNopLogger())
 	r.SetHandler(r)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
@@ -43,13 +43,13 @@
 func TestEvidenceReachesAllEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &network{conns: map[string]*memoryConn{}}
+		n := newNetwork()
 		var all []*recorder
 		for i := range 6 {
 			all = append(all, n.startRecorder(fmt.Sprintf("10.0.0.%d:7", i+1)))
 		}
 		time.Sleep(3 * time.Second)
-		n.setDrop(func(_, to string) bool { return to == "10.0.0.4:7" })
+		n.SetDrop(func(_, to string) bool { return to == "10.0.0.4:7" })
 		for i := range 5 {
 			e := blame.End{Boot: advisory.Boot{ID: fmt.Sprint("s", i), Started: 7}, DataCentre: fmt.Sprint(i), At: time.Now()}
 			for q := range 30 {
@@ -65,7 +65,7 @@
 		all[0].AddSurvived(blame.Request{Shared: []blame.Key{blame.PartKey("org", "common")}}, time.Now().Add(-time.Second))
 		all[0].ReportSurvived(map[blame.Key]time.Time{blame.PartKey("org", "common"): time.Now().Add(-time.Second)})
 		time.Sleep(100 * time.Millisecond)
-		n.setDrop(nil)
+		n.SetDrop(nil)
 		time.Sleep(2 * time.Second)
 		all = append(all, n.startRecorder("10.0.0.9:7"))
 		time.Sleep(time.Second)
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,69 +12,15 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirestream/samphirestream/internal/blame"
+	"github.com/samphirestream/samphirestream/internal/memnet"
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/predict"
 )
 
-// network is an in-memory datagram network.
-type network struct {
-	mu    sync.Mutex
-	conns map[string]*memoryConn
-	drop  func(from, to string) bool
-}
-
-type datagram struct {
-	from string
-	data []byte
-}
-
-// memoryConn implements Conn.
-type memoryConn struct {
-	net  *network
-	addr string
-	in   chan datagram
-}
-
-func (n *network) listen(addr string) *memoryConn {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c := &memoryConn{net: n, addr: addr, in: make(chan datagram, 100)}
-	n.conns[addr] = c
-	return c
-}
-
-func (c *memoryConn) ReadFrom(p []byte) (int, net.Addr, error) {
-	d, ok := <-c.in
-	if !ok {
-		return 0, nil, net.ErrClosed
-	}
-	a, err := net.ResolveUDPAddr("udp", d.from)
-	return copy(p, d.data), a, err
-}
-
-func (c *memoryConn) WriteTo(p []byte, to net.Addr) (int, error) {
-	c.net.mu.Lock()
-	defer c.net.mu.Unlock()
-	dst, ok := c.net.conns[to.String()]
-	if ok && (c.net.drop == nil || !c.net.drop(c.addr, to.String())) {
-		dst.in <- datagram{c.addr, append([]byte(nil), p...)}
-	}
-	return len(p), nil
-}
-
-func (c *memoryConn) Close() error {
-	c.net.mu.Lock()
-	defer c.net.mu.Unlock()
-	delete(c.net.conns, c.addr)
-	close(c.in)
-	return nil
-}
+// network is the network of the members.
+type network struct{ *memnet.Network }
 
-func (n *network) setDrop(drop func(from, to string) bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.drop = drop
-}
+func newNetwork() *network { return &network{memnet.New(0)} }
 
 // member is one exchange with the last state that its callbacks received.
 type member struct {
@@ -97,7 +42,7 @@
 // startWith starts a member with a version of the configuration; 0 is none.
 func (n *network) startWith(o Options, version uint64) *member {
 	m := &member{calls: map[string]int{}, stageChange: map[string]time.Time{}, unreachable: map[string]bool{}}
-	m.Exchange = New(n.listen(o.Self), o, log.NewNopLogger())
+	m.Exchange = New(n.Listen(o.Self), o, log.NewNopLogger())
 	m.SetHandler(m)
 	m.SetConfig(version, []byte("old"))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -170,7 +115,7 @@
 
 func run(t *testing.T, f func(t *testing.T, n *network, m [3]*member)) {
 	synctest.Test(t, func(t *testing.T) {
-		n := &network{conns: map[string]*memoryConn{}}
+		n := newNetwork()
 		m := startThree(n)
 		f(t, n, m)
 		for _, x := range m {
@@ -287,15 +232,11 @@
 func TestLostDatagramsAreRepaired(t *testing.T) {
 	run(t, func(t *testing.T, n *network, m [3]*member) {
 		is := is.New(t)
-		n.mu.Lock()
-		n.drop = func(from, to string) bool { return from == a && to == b }
-		n.mu.Unlock()
+		n.SetDrop(func(from, to string) bool { return from == a && to == b })
 		m[0].PublishUsage("s", Usage{Calls: 1}, true)
 		time.Sleep(2 * batchDelay)
 		is.Equal(m[1].remoteCalls("s"), 0)
-		n.mu.Lock()
-		n.drop = nil
-		n.mu.Unlock()
+		n.SetDrop(nil)
 		time.Sleep(fullInterval)
 		is.Equal(m[1].remoteCalls("s"), 1)
 	})
@@ -307,9 +248,7 @@
 		m[0].PublishUsage("s", Usage{Calls: 1}, true)
 		m[0].PublishWaiting("pool", []Waiting{{Arrived: time.Now()}})
 		time.Sleep(2 * batchDelay)
-		n.mu.Lock()
-		n.drop = func(from, _ string) bool { return from == a }
-		n.mu.Unlock()
+		n.SetDrop(func(from, _ string) bool { return from == a })
 		time.Sleep(peerTimeout + 2*fullInterval)
 		is.Equal(m[1].remoteCalls("s"), 0)
 		is.Equal(m[1].waiting(), 0)
@@ -356,10 +295,10 @@
 		m[2].PublishUsage("s", Usage{Calls: 1}, true)
 		time.Sleep(fullInterval)
 		is.Equal(m[0].remoteCalls("s"), 1)
-		n.setDrop(func(from, _ string) bool { return from == c }) // as if it were killed: its last message is lost
+		n.SetDrop(func(from, _ string) bool { return from == c }) // as if it were killed: its last message is lost
 		m[2].stop()
 		time.Sleep(fullInterval)
-		n.setDrop(nil)
+		n.SetDrop(nil)
 		restarted := n.start(c, a)
 		restarted.Exchange.mu.Lock()
 		restarted.incarnation -= time.Minute.Milliseconds()
@@ -394,9 +333,9 @@
 func TestFullMessagesHoldPresentAges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &network{conns: map[string]*memoryConn{}}
+		n := newNetwork()
 		var last lastUsage
-		receiver := New(n.listen(b), Options{Self: b, Seeds: []string{a}}, log.NewNopLogger())
+		receiver := New(n.Listen(b), Options{Self: b, Seeds: []string{a}}, log.NewNopLogger())
 		receiver.SetHandler(&last)
 		ctx, cancel := context.WithCancel(context.Background())
 		go receiver.Run(ctx)
--- a/internal/router/closed_test.go
+++ b/internal/router/closed_test.go
@@ -74,8 +74,8 @@
 				is := is.New(t)
 				c := newClosers(tc.closed, tc.server)
 				g.observe = c.observe
-				g.setAll(plainServers, after(20*time.Millisecond, ok("ok")))
-				g.setAll(decodeServers, after(20*time.Millisecond, ok(stream)))
+				g.servers.setAll(plainServers, after(20*time.Millisecond, ok("ok")))
+				g.servers.setAll(decodeServers, after(20*time.Millisecond, ok(stream)))
 				g.servers.set(tc.server, refuses)
 				g.servers.prefills[tc.server] = refuses
 				answers := g.load(tc.path, tc.perSecond, loadTime)
@@ -116,7 +116,7 @@
 				is.True(len(returns) > 5) // they do not return together
 				is.Equal(len(g.servers.recorded()), 0)
 				time.Sleep(closed)
-				g.setAll(decodeServers, ok(stream))
+				g.servers.setAll(decodeServers, ok(stream))
 				is.Equal(serve(context.Background(), g.entries[0], newCall(tc.path)).status, 200)
 			})
 		})
@@ -130,7 +130,7 @@
 		is := is.New(t)
 		c := newClosers(time.Second, "a1")
 		g.observe = c.observe
-		g.setAll(plainServers, after(20*time.Millisecond, ok("ok")))
+		g.servers.setAll(plainServers, after(20*time.Millisecond, ok("ok")))
 		g.servers.set("a1", refuses)
 		g.load("/once/x", 68, 10*time.Second)
 		g.observe = nil
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -384,7 +384,7 @@
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
 				ended := ""
-				f.setAll(test.servers, func(_ context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+				f.servers.setAll(test.servers, func(_ context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 					body := test.whole
 					if ended == "" {
 						body, ended = test.cut, o.Server.ID
--- a/internal/router/explained_test.go
+++ b/internal/router/explained_test.go
@@ -74,7 +74,7 @@
 		is := is.New(t)
 		var out bytes.Buffer
 		f = f.withLog(t, &out)
-		f.setAll(plainServers, unanswered)
+		f.servers.setAll(plainServers, unanswered)
 		f.call(context.Background(), "/once/x")
 		timeline := trace(t, &out)
 		is.Equal(timeline.Outcome, "outcome_unknown")
@@ -91,12 +91,12 @@
 		is := is.New(t)
 		var out bytes.Buffer
 		f = f.withLog(t, &out)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.setUnreachable(decodeServers...)
 		f.call(context.Background(), "/stream/x")
 		f.servers.setUnreachable()
 		time.Sleep(time.Second)
-		f.setAll(decodeServers, breaksAfter(events+"id: 3\nda"))
+		f.servers.setAll(decodeServers, breaksAfter(events+"id: 3\nda"))
 		f.call(context.Background(), "/stream/x")
 		timeline := trace(t, &out)
 		is.Equal(timeline.Outcome, "aborted")
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -73,6 +73,12 @@
 	f.on[id] = b
 }
 
+func (f *fakeServers) setAll(ids []string, b behaviour) {
+	for _, id := range ids {
+		f.set(id, b)
+	}
+}
+
 // setUnreachable makes the given servers, and no others, refuse connections.
 func (f *fakeServers) setUnreachable(ids ...string) {
 	f.mu.Lock()
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -70,8 +70,8 @@
 				is := is.New(t)
 				l := newLeavers(tc.server)
 				g.observe = l.observe
-				g.setAll(plainServers, after(20*time.Millisecond, tc.answer))
-				g.setAll(decodeServers, after(20*time.Millisecond, tc.answer))
+				g.servers.setAll(plainServers, after(20*time.Millisecond, tc.answer))
+				g.servers.setAll(decodeServers, after(20*time.Millisecond, tc.answer))
 				g.load(tc.path, 8, loadTime)
 				t.Logf("%d requests too late", l.late[tc.server])
 				is.Equal(l.late[tc.server], 0)
@@ -125,7 +125,7 @@
 		is := is.New(t)
 		l := newLeavers(decodeServers...)
 		g.observe = l.observe
-		g.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
+		g.servers.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
 			return reply(200, bytes.NewBufferString(stream)), nil
 		})
 		a := serve(context.Background(), g.entries[0], newCall("/stream/x"))
@@ -170,7 +170,7 @@
 				o.DrainTime = 500 * time.Millisecond
 				f.Router = router.New(f.directory, f.servers, o, nopLogger)
 				f.servers.prefillTime = o.DrainTime
-				f.setAll(decodeServers, ok(events))
+				f.servers.setAll(decodeServers, ok(events))
 				left := ""
 				time.AfterFunc(o.DrainTime/10, func() {
 					for _, s := range f.Snapshot().Servers {
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -131,7 +131,7 @@
 			withRegion(t, tc.entries, func(t *testing.T, g *region) {
 				l := newLimits(tc.perSecond)
 				g.observe = l.observe
-				g.setAll(plainServers, after(20*time.Millisecond, tc.answer))
+				g.servers.setAll(plainServers, after(20*time.Millisecond, tc.answer))
 				g.load(tc.path, 68, loadTime)
 				l.check(t)
 			})
@@ -157,7 +157,7 @@
 			withRegion(t, tc.entries, func(t *testing.T, g *region) {
 				l := newLimits(tc.perSecond)
 				g.observe = l.observe
-				g.setAll(decodeServers, after(100*time.Millisecond, tc.answer))
+				g.servers.setAll(decodeServers, after(100*time.Millisecond, tc.answer))
 				g.load("/resumable/x", 8, loadTime)
 				l.check(t)
 			})
@@ -171,12 +171,6 @@
 	stream = event1 + "id: 2\ndata: b\n\n"
 )
 
-func (g *region) setAll(ids []string, b behaviour) {
-	for _, id := range ids {
-		g.servers.set(id, b)
-	}
-}
-
 // TestLimitedServersStayInUse checks that a limit costs no more than it must: the limited
 // servers get a good part of what they allow, and the others the rest.
 func TestLimitedServersStayInUse(t *testing.T) {
@@ -184,7 +178,7 @@
 		is := is.New(t)
 		l := newLimits(map[string]float64{"a1": 7.8, "a2": 3.6})
 		g.observe = l.observe
-		g.setAll(plainServers, after(20*time.Millisecond, ok("ok")))
+		g.servers.setAll(plainServers, after(20*time.Millisecond, ok("ok")))
 		answers := g.load("/once/x", 68, loadTime)
 		is.Equal(served(answers), len(answers))
 		for _, s := range l.servers {
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -173,7 +173,7 @@
 		is := is.New(t)
 		var calls sync.WaitGroup
 		defer calls.Wait()
-		f.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			time.Sleep(100 * time.Millisecond)
 			return ok("ok")(ctx, o)
 		})
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/directory"
-	"github.com/samphirestream/samphirestream/internal/emulator"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
+	"github.com/samphirestream/samphirestream/internal/memnet"
 	"github.com/samphirestream/samphirestream/internal/router"
 )
 
@@ -32,7 +32,7 @@
 func withRegion(t *testing.T, entries int, test func(t *testing.T, g *region)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		network := emulator.NewNetwork()
+		network := memnet.New(memnet.EntryLatency)
 		g := &region{servers: newFakeServers()}
 		ctx, cancel := context.WithCancel(context.Background())
 		var background sync.WaitGroup
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -15,12 +15,6 @@
 	"github.com/samphirestream/samphirestream/internal/router"
 )
 
-func (f *fleet) setAll(ids []string, b behaviour) {
-	for _, id := range ids {
-		f.servers.set(id, b)
-	}
-}
-
 var (
 	plainServers   = []string{"a1", "a2", "a3"}
 	prefillServers = []string{"p1", "p2"}
@@ -46,7 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				f.setAll(plainServers, b)
+				f.servers.setAll(plainServers, b)
 				a := f.call(context.Background(), "/once/x")
 				is.Equal(a.failure.Outcome, apierror.OutcomeUnknown)
 				is.Equal(len(f.servers.recorded()), 1)
@@ -71,7 +65,7 @@
 func TestRefusalsReportNotRun(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, refuses)
+		f.servers.setAll(plainServers, refuses)
 		a := f.call(context.Background(), "/once/x")
 		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
 		is.True(a.failure.RetryAfter > 0)
@@ -91,7 +85,7 @@
 			}
 			return refuses(ctx, o)
 		}
-		f.setAll(plainServers, b)
+		f.servers.setAll(plainServers, b)
 		a := f.call(context.Background(), "/safe/x")
 		is.Equal(a.failure.Outcome, apierror.OutcomeUnknown)
 	})
@@ -104,7 +98,7 @@
 				is := is.New(t)
 				began := time.Now()
 				n := 0
-				f.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+				f.servers.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 					if n++; n == 1 {
 						return b(ctx, o)
 					}
@@ -122,7 +116,7 @@
 func TestServerErrorResponsesAreRelayed(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, fails(500))
+		f.servers.setAll(plainServers, fails(500))
 		a := f.call(context.Background(), "/safe/x")
 		is.Equal(a.status, 500)
 		is.Equal(a.body.String(), "bad")
@@ -164,7 +158,7 @@
 func TestResponsesWithoutProofAreNotRelayed(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			r, _ := ok("forged")(ctx, o)
 			r.Proven = false
 			return r, nil
@@ -178,7 +172,7 @@
 func TestTimeoutsOfTheRouteEndCalls(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, hangs)
+		f.servers.setAll(plainServers, hangs)
 		began := time.Now()
 		a := f.call(context.Background(), "/once/x")
 		is.Equal(a.failure.Kind, apierror.KindDeadlineExceeded)
@@ -192,7 +186,7 @@
 func TestBacklogBeyondTheTargetIsRefused(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			time.Sleep(100 * time.Millisecond)
 			return ok("ok")(ctx, o)
 		})
@@ -218,7 +212,7 @@
 func TestRetriesKeepToTheBudget(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, fails(500))
+		f.servers.setAll(plainServers, fails(500))
 		for range 200 {
 			f.call(context.Background(), "/safe/x")
 		}
@@ -235,7 +229,7 @@
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				f.setAll(decodeServers, ok(events))
+				f.servers.setAll(decodeServers, ok(events))
 				registered := f.directory.Current().Servers
 				remove := func() {
 					for _, id := range ids {
@@ -277,7 +271,7 @@
 func TestStreamsGoThroughPrefillAndDecode(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			is.Equal(o.Source.ID, "h")
 			is.True(o.AtMostOnce)
 			return ok(events)(ctx, o)
@@ -297,7 +291,7 @@
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		n := 0
-		f.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			if n++; n == 1 {
 				return refuses(ctx, o)
 			}
@@ -314,7 +308,7 @@
 func TestUnreachableDecodeServersWasteNoPrefill(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.unreachable["d1"], f.servers.unreachable["d2"] = true, true
 		for range 10 {
 			is.Equal(f.call(context.Background(), "/stream/x").body.String(), events)
@@ -336,7 +330,7 @@
 func TestUnusedPrefillResultsAreFreed(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, refuses)
+		f.servers.setAll(decodeServers, refuses)
 		a := f.call(context.Background(), "/stream/x")
 		is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
 		is.True(a.failure.RetryAfter > 0)
@@ -348,7 +342,7 @@
 func TestUnresponsivePrefillServersAreReplaced(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.prefills["p1"] = hangs
 		began := time.Now()
 		for range 4 {
@@ -363,7 +357,7 @@
 func TestSlowPrefillsAreNotAbandoned(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.prefillTime = 550 * time.Millisecond
 		is.Equal(f.call(context.Background(), "/stream/x").body.String(), events)
 		is.Equal(f.arrivals()["prefill p1"]+f.arrivals()["prefill p2"], 1)
@@ -380,7 +374,7 @@
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				f.setAll(decodeServers, b)
+				f.servers.setAll(decodeServers, b)
 				a := f.call(context.Background(), "/stream/x")
 				is.True(a.aborted)
 				is.Equal(a.body.String(), "id: 1\ndata: a\n\n")
@@ -395,7 +389,7 @@
 		is := is.New(t)
 		n := 0
 		var first string
-		f.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			if n++; n == 1 {
 				first = o.Server.ID
 				return breaksAfter("id: 1\ndata: a\n\nid: 2\nda")(ctx, o)
@@ -418,7 +412,7 @@
 		is := is.New(t)
 		broken := false
 		var full time.Time
-		f.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			switch {
 			case !broken:
 				broken, full = true, time.Now().Add(2*prefillTime)
@@ -450,7 +444,7 @@
 			}
 		}
 		crashed := ""
-		f.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			if crashed != "" {
 				return ok("id: 2\ndata: b\n\n")(ctx, o)
 			}
@@ -476,7 +470,7 @@
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		ended := make(chan time.Time, 1)
-		f.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(plainServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			<-ctx.Done()
 			ended <- time.Now()
 			return hangs(ctx, o)
@@ -495,7 +489,7 @@
 func TestReturnedCallersComeAfterOthers(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		is.Equal(f.call(context.Background(), "/stream/x").status, 200) // records how long callers wait
 		for _, id := range decodeServers {
 			f.SetRemoteUsage(id, []loadexchange.Usage{{Runs: []loadexchange.Run{{Prompt: 47_000, Answer: 9000, Began: time.Now()}}}})
@@ -516,7 +510,7 @@
 func TestDisconnectedCallersCauseNoSuspicion(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.slowProbe = true
 		for range 6 {
 			ctx, cancel := context.WithCancel(context.Background())
@@ -535,7 +529,7 @@
 func TestIdlePrefillServersBecomeDecodeServers(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		for _, id := range []string{"p3", "p4"} {
 			f.directory.Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
 		}
@@ -571,7 +565,7 @@
 func TestResumesKeepToTheBudget(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, breaksAfter("id: 1\ndata: a\n\n"))
+		f.servers.setAll(decodeServers, breaksAfter("id: 1\ndata: a\n\n"))
 		const calls = 100
 		var all sync.WaitGroup
 		began := time.Now()
@@ -592,7 +586,7 @@
 func TestPrefillServersThatBreakCallsAreExcluded(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.prefills["p1"] = unanswered
 		for range 30 {
 			is.Equal(f.call(context.Background(), "/stream/x").body.String(), events)
@@ -612,7 +606,7 @@
 // detector.
 func TestBalanceDuringRequests(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		ctx, cancel := context.WithCancel(context.Background())
 		balanced := make(chan struct{})
 		go func() { f.Balance(ctx, "holder"); close(balanced) }()
@@ -631,7 +625,7 @@
 func TestServersThatRefuseWhileIdleAreExcluded(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		f.servers.prefills = map[string]behaviour{"p1": func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			r, err := refuses(ctx, o)
 			r.Load = &router.Load{Slots: 12}
@@ -719,7 +713,7 @@
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				f.setAll(decodeServers, ok(events))
+				f.servers.setAll(decodeServers, ok(events))
 				if tc.prefill {
 					f.servers.prefills = map[string]behaviour{tc.server: misdirected}
 				} else {
--- a/internal/router/slow_test.go
+++ b/internal/router/slow_test.go
@@ -74,7 +74,7 @@
 				return ok("ok")(ctx, o)
 			}
 		}
-		f.setAll(plainServers, work(40*time.Millisecond))
+		f.servers.setAll(plainServers, work(40*time.Millisecond))
 		f.servers.set("a1", work(400*time.Millisecond))
 		const calls = 1000
 		inTime := f.load(calls, 10*time.Millisecond, "/safe/x", 200*time.Millisecond)
@@ -107,7 +107,7 @@
 func TestSlowDecodeServersGetFewerCalls(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, paced(10, gap/10))
+		f.servers.setAll(decodeServers, paced(10, gap/10))
 		f.servers.set("d1", paced(10, 2*gap))
 		const calls = 100
 		inTime := f.load(calls, 200*time.Millisecond, "/stream/x", target)
@@ -121,7 +121,7 @@
 func TestServersThatBreakCallsArePaused(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, paced(10, gap))
+		f.servers.setAll(decodeServers, paced(10, gap))
 		f.servers.set("d1", unanswered)
 		const calls, seconds = 100, 10
 		f.load(calls, seconds*time.Second/calls, "/stream/x", timeout)
@@ -140,7 +140,7 @@
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		var n atomic.Int64
-		f.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 			if n.Add(1)%2 == 0 {
 				return unanswered(ctx, o)
 			}
@@ -161,7 +161,7 @@
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				f.setAll(decodeServers, ok(events))
+				f.servers.setAll(decodeServers, ok(events))
 				now := time.Now()
 				run := loadexchange.Run{Prompt: 100, Answer: 3000, Began: now.Add(-time.Second)}
 				runs := slices.Repeat([]loadexchange.Run{run}, tc.streaming)
--- a/internal/router/state_test.go
+++ b/internal/router/state_test.go
@@ -21,7 +21,7 @@
 func TestOneLongDeadlineIsForgotten(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		serveWith := func(wait time.Duration) *recordedAnswer {
 			c := newCall("/stream/x")
 			c.Deadline = c.Arrived.Add(wait)
@@ -111,9 +111,9 @@
 	const limit = 1 << 20
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(plainServers, ok(strings.Repeat("x", limit)))
+		f.servers.setAll(plainServers, ok(strings.Repeat("x", limit)))
 		is.Equal(f.call(context.Background(), "/safe/x").body.Len(), limit)
-		f.setAll(plainServers, ok(strings.Repeat("x", limit+1)))
+		f.servers.setAll(plainServers, ok(strings.Repeat("x", limit+1)))
 		sent := len(f.servers.recorded())
 		a := f.call(context.Background(), "/safe/x")
 		is.Equal(a.starts, 0)
@@ -130,7 +130,7 @@
 func TestLongErrorsOfStreamsAreNotCut(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
+		f.servers.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
 			return reply(500, strings.NewReader(strings.Repeat("x", 2<<20))), nil
 		})
 		a := f.call(context.Background(), "/stream/x")
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -249,7 +249,7 @@
 func TestStreamsTakenUpBeforeAnyServerIsKnownAreNotMixed(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(events))
+		f.servers.setAll(decodeServers, ok(events))
 		known := f.directory.Current().Servers
 		for id := range known {
 			f.directory.Remove(id, 0)
@@ -366,7 +366,7 @@
 func TestStreamsWithoutFurtherEventsKeepTheirProof(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.setAll(decodeServers, ok(""))
+		f.servers.setAll(decodeServers, ok(""))
 		c := newCall("/resumable/x")
 		c.Resumes, c.LastEvent = "first", "6"
 		a := serve(context.Background(), f.Router, c)
