--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -37,6 +37,8 @@
 	region *region
 	fatal  func(c *router.Call) bool
 	events int // of each stream
+	// fatalEvents is the number of events that a fatal stream has before its server ends.
+	fatalEvents int
 
 	mu       sync.Mutex // guards the fields below
 	boots    map[string]chan struct{}
@@ -116,7 +118,7 @@
 				return
 			case <-time.After(eventGap):
 			}
-			if !s.fatal(o.Call) {
+			if !s.fatal(o.Call) || i < s.fatalEvents {
 				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i) // the reader's end is the router's
 			}
 		}
@@ -303,30 +305,35 @@
 // TestFatalRequestsThatArriveTogetherEndFewServers has fifty fatal requests arrive within a
 // second at five entries, and some more each second afterwards.
 func TestFatalRequestsThatArriveTogetherEndFewServers(t *testing.T) {
+	fatalPart := func(c *router.Call) bool { return slices.Contains(c.SharedParts, "fatal") }
+	withFatalPart := func(_ int, fatal bool) *router.Call {
+		if fatal {
+			return withParts("/resumable/x", "common", "fatal")
+		}
+		return withParts("/resumable/x", "common")
+	}
 	for name, test := range map[string]struct {
-		servers []string
-		allowed int // ends
-		fatal   func(c *router.Call) bool
-		call    func(i int, fatal bool) *router.Call
+		servers     []string
+		allowed     int // ends
+		fatalEvents int
+		fatal       func(c *router.Call) bool
+		call        func(i int, fatal bool) *router.Call
 	}{
-		"one request": {plainServers, 3, func(c *router.Call) bool { return c.Target == "/safe/x?fatal" }, func(i int, fatal bool) *router.Call {
+		"one request": {plainServers, 3, 0, func(c *router.Call) bool { return c.Target == "/safe/x?fatal" }, func(i int, fatal bool) *router.Call {
 			c := newCall("/safe/x")
 			if c.Target += fmt.Sprint("?", i); fatal {
 				c.Target = "/safe/x?fatal"
 			}
 			return c
 		}},
-		"one part": {decodeServers, 5, func(c *router.Call) bool { return slices.Contains(c.SharedParts, "fatal") }, func(_ int, fatal bool) *router.Call {
-			if fatal {
-				return withParts("/resumable/x", "common", "fatal")
-			}
-			return withParts("/resumable/x", "common")
-		}},
+		"one part":                   {decodeServers, 5, 0, fatalPart, withFatalPart},
+		"one part, after some event": {decodeServers, 5, 1, fatalPart, withFatalPart},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withRegion(t, 5, func(t *testing.T, g *region) {
 				is := is.New(t)
 				s := newCrashingServers(g, g.addCopies(test.servers, 4), test.fatal)
+				s.fatalEvents = test.fatalEvents
 				sound := s.play(6, 40*time.Second, func(i int) *router.Call { return test.call(i, false) })
 				time.Sleep(3 * time.Second)
 				s.play(50, time.Second, func(i int) *router.Call { return test.call(i, true) }).Wait()
