blame: a report without the identity of its requests is ignored

A datagram of a peer whose requests had no identity ended the process that judged it. TestRequestsWithoutIdentityAreIgnored failed before (index out of range).

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -1,14 +1,14 @@
 // Package blame decides which requests are refused because backend servers end under them.
-// It does no I/O. The load that it answers: some requests, the same one again and again or
-// no two alike, end each server that runs them, while sound requests share servers and parts of their prompts
-// with them.
+// It does no I/O. The load that it answers: some requests, the same one again and again or no
+// two alike, end each server that runs them, while sound requests share servers and parts of
+// their prompts with them.
 //
 // A request has causes: properties that may be the reason why a server ends under it. These
-// are the request itself, as its caller repeats it, and the parts of its prompt. When a server ends, the causes of all requests that it had just
-// begun are suspected. The cause that most of the ends have in common explains them, and
-// suspects less what came with it (spectrum-based fault localization: Jones, Harrold and
-// Stasko, 2002; here with counts in place of ratios). A request that a server survives clears
-// its causes of all ends before.
+// are the request itself, as its caller repeats it, and the parts of its prompt. When a server
+// ends, the causes of all requests that it had just begun are suspected. The cause that most
+// of the ends have in common explains them, and relieves what came with it (spectrum-based
+// fault localization: Jones, Harrold and Stasko, 2002; here with counts in place of ratios). A
+// request that a server survives clears its causes of all ends before.
 package blame
 
 import (
@@ -75,7 +75,7 @@
 
 // Blame is the reason why requests with certain causes are refused.
 type Blame struct {
-	// Causes are refused together: it is not known which of them is the reason.
+	// Causes are refused together: the evidence does not show which of them is the reason.
 	Causes []Key
 	// Ends is the number of servers that ended, and Requests that of different requests
 	// under which they did.
@@ -139,8 +139,8 @@
 }
 
 // AddEnd records that a server ended, by the observation of this entry or another one. What
-// several entries observed of one end adds up. It returns the causes of the requests that
-// are known to have been survived, with the times, which other entries may not know.
+// several entries observed of one end adds up. It returns which of the requests' causes
+// servers have survived, by the records of this entry, and when.
 func (r *Record) AddEnd(e End) map[Key]time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,6 +156,9 @@
 	}
 	survived := map[Key]time.Time{}
 	for _, q := range e.Requests {
+		if len(q.Own) == 0 {
+			continue // of a peer that reports something else
+		}
 		if len(known.Requests) < maxRequests && !slices.ContainsFunc(known.Requests, func(o Request) bool { return slices.Equal(o.Own, q.Own) }) {
 			known.Requests = append(known.Requests, q)
 		}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -214,6 +214,15 @@
 	is.True(e.Blamed(Request{Shared: []Key{PartKey("another", "fatal")}}, e.now) == nil)
 }
 
+// TestRequestsWithoutIdentityAreIgnored reports requests as a faulty peer might.
+func TestRequestsWithoutIdentityAreIgnored(t *testing.T) {
+	r := NewRecord()
+	for i := range 5 {
+		r.AddEnd(End{Boot: advisory.Boot{ID: fmt.Sprint(i)}, At: began.Add(time.Duration(i) * time.Second), Requests: []Request{{Shared: keys("fatal")}}})
+	}
+	is.New(t).Equal(len(r.Blames(began)), 0)
+}
+
 func TestObservationsOfOneEndAddUp(t *testing.T) {
 	is := is.New(t)
 	r := NewRecord()
--- a/internal/router/trial.go
+++ b/internal/router/trial.go
@@ -13,8 +13,8 @@
 
 // A request under suspicion (blame.Record.Suspected) is run as a trial: each entry runs one at
 // a time, the entries take turns in an order that follows from the server that ended, and none
-// begins one at the last server that takes work. So a cause that ends servers ends one at a
-// time until it is blamed, and what only came along is cleared.
+// begins one while a single server takes work. So a cause that ends servers ends one at a time
+// until it is blamed, and what only came along is cleared.
 const (
 	// trialTurn is the time of an entry's turn, in whose first half a trial may begin. Most
 	// trials show by the end of the turn whether their server survives.
