soak: a server that started again is not held to what it said before

Traced in the entries' logs: boot 1 of s7 turned requests away at 13:08:01.387 for 2.9 s; at 13:08:03.879, when the calm phase ended, it registered as boot 2, which took requests. What a server says belongs to its boot (design/062); the judge counted the requests to boot 2. It showed now because callers go on after the calm phase. The judge compares boots; within one boot it is as strict (both cases are in its test).

--- a/test/soak/advice_test.go
+++ b/test/soak/advice_test.go
@@ -30,6 +30,7 @@
 	limitSince time.Time
 	leaving    bool
 	retryAfter time.Duration
+	born       int64 // the boot that answered
 }
 
 // advice is what a server says of itself, and what it received.
@@ -48,7 +49,7 @@
 func (a *advice) answer(w http.ResponseWriter, id string) (turnedAway bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	got := arrival{id: id, at: time.Now(), limit: a.limit, limitSince: a.limitSince, leaving: a.leaving, retryAfter: max(0, time.Until(a.closedUntil))}
+	got := arrival{id: id, at: time.Now(), limit: a.limit, limitSince: a.limitSince, leaving: a.leaving, retryAfter: max(0, time.Until(a.closedUntil)), born: a.born}
 	if id != "" {
 		a.arrivals = append(a.arrivals, got)
 	}
@@ -175,7 +176,7 @@
 			n := 0
 			for _, b := range s.advice.arrivals[i+1:] {
 				after := b.at.Sub(a.at)
-				if o, ok := results[b.id]; ok && o.entry == r.entry && after > toldAfter+testStall && after < a.retryAfter && !d.between(fmt.Sprint("entry", r.entry), a.at, b.at) && !d.between(s.id, a.at, b.at) {
+				if o, ok := results[b.id]; ok && o.entry == r.entry && b.born == a.born && after > toldAfter+testStall && after < a.retryAfter && !d.between(fmt.Sprint("entry", r.entry), a.at, b.at) && !d.between(s.id, a.at, b.at) {
 					n++
 				}
 			}
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -17,6 +17,7 @@
 		limit      float64
 		leaving    bool
 		retryAfter time.Duration
+		born       int64
 	}
 	many := func(from, step float64, n int, g got) []got {
 		var out []got
@@ -38,6 +39,8 @@
 		"leaving, later":         {many(0, 1, 6, got{leaving: true}), 0, true},
 		"another life":           {append(many(0, 1, 2, got{leaving: true}), many(5, 1, 9, got{})...), 0, false},
 		"left alone":             {append(many(0, 0.1, 3, got{retryAfter: 4 * time.Second}), many(5, 0.1, 9, got{})...), 0, false},
+		"started again":          {append(many(0, 0.1, 3, got{retryAfter: 4 * time.Second}), many(2, 0.1, 9, got{born: 1})...), 0, false},
+		"the same boot":          {append(many(0, 0.1, 3, got{retryAfter: 4 * time.Second}), many(2, 0.1, 9, got{})...), 0, true},
 		"not left alone":         {many(0, 0.5, 9, got{retryAfter: 4 * time.Second}), 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -51,7 +54,7 @@
 			for i, g := range tc.arrivals {
 				id := fmt.Sprint("r", i)
 				results[id] = result{id: id, entry: 1, sent: at(g.seconds)}
-				a := arrival{id: id, at: at(g.seconds), limit: g.limit, leaving: g.leaving, retryAfter: g.retryAfter}
+				a := arrival{id: id, at: at(g.seconds), limit: g.limit, leaving: g.leaving, retryAfter: g.retryAfter, born: g.born}
 				if g.limit > 0 {
 					a.limitSince = start
 				}
