loadexchange: reports of many ends fit into datagrams

Each request that broke off with its server is a report; their names were not counted when they were divided into messages, so that one with a hundred reports was larger than a datagram and was not sent at all. TestEvidenceFitsIntoDatagrams failed before.

--- a/internal/loadexchange/ends.go
+++ b/internal/loadexchange/ends.go
@@ -7,11 +7,13 @@
 	"github.com/samphirestream/samphirestream/internal/blame"
 )
 
-// maxEndBytes is the size of the requests of one message in bytes, of which each key takes
-// keyBytes. A message with one request may be larger, and still fits into a datagram.
+// maxEndBytes is the approximate size of the evidence in one message in bytes. Each report has
+// reportBytes beside its names and keys. A message with one request may be larger, and still
+// fits into a datagram.
 const (
 	maxEndBytes = 4 << 10
 	keyBytes    = len(blame.Key{}) + 1
+	reportBytes = 48
 )
 
 // endReport is the unplanned end of a server in messages.
@@ -51,7 +53,7 @@
 	for _, end := range e.ends {
 		var last *message // the message that has the beginning of this end
 		for _, q := range end.Requests {
-			m := add((len(q.Own) + len(q.Shared)) * keyBytes)
+			m := add(reportBytes + len(end.Boot.ID) + len(end.DataCentre) + (len(q.Own)+len(q.Shared))*keyBytes)
 			if m != last {
 				m.Ends = append(m.Ends, endReport{Server: end.Boot.ID, Started: end.Boot.Started, DataCentre: end.DataCentre, Age: now.Sub(end.At).Milliseconds()})
 				last = m
@@ -61,7 +63,7 @@
 		}
 	}
 	for c, at := range e.survived {
-		m := add(keyBytes)
+		m := add(reportBytes)
 		m.Survived = append(m.Survived, survivedReport{Cause: c, Age: now.Sub(at).Milliseconds()})
 	}
 	return out
--- a/internal/loadexchange/ends_test.go
+++ b/internal/loadexchange/ends_test.go
@@ -80,3 +80,21 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestEvidenceFitsIntoDatagrams reports the end of a server for each of many requests.
+func TestEvidenceFitsIntoDatagrams(t *testing.T) {
+	is := is.New(t)
+	var e evidence
+	for i := range 500 {
+		key := blame.NewKey("request", fmt.Sprint(i))
+		e.ends = append(e.ends, blame.End{Boot: advisory.Boot{ID: "i-60961f7d33", Started: 1772874270409}, DataCentre: "nbo-upperhill", Requests: []blame.Request{{Own: []blame.Key{key, key}}}})
+	}
+	reported := 0
+	for _, m := range e.messages(time.Now()) {
+		b, err := encode(m)
+		is.NoErr(err)
+		is.True(len(b) <= maxDatagram)
+		reported += len(m.Ends)
+	}
+	is.Equal(reported, 500)
+}
