--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -408,3 +408,18 @@
 		})
 	}
 }
+
+// TestUnframedStreamWithoutEventIDsIsComplete streams events that name no IDs.
+func TestUnframedStreamWithoutEventIDsIsComplete(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.servers.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
+			r := reply(200, strings.NewReader("data: x\n\n"))
+			r.Unframed = true
+			return r, nil
+		})
+		a := f.call(t.Context(), "/stream/x")
+		is.Equal(a.status, 200)
+		is.True(!a.aborted)
+	})
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -71,7 +71,7 @@
 				x.survived()
 			}
 		}
-		if err == io.EOF && len(pending) == 0 && x.cutOff(b, reply, x.lastEvent == "") {
+		if err == io.EOF && len(pending) == 0 && x.cutOff(b, reply, x.events == 0 && x.lastEvent == "") {
 			err = errCutOff
 		}
 		switch {
