directory, apikey: organisations, quotas and keys by digest

The configuration of two deployments lists organisations with API keys, priorities and token quotas. Types only; the release notes use the same table of keys.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/samphirestream/samphirestream/internal/apikey"
 )
 
 // Kind determines how often a request of a route may run.
@@ -46,6 +48,41 @@
 	// Attempts is the maximum number of servers that one request is sent to.
 	Attempts  int
 	Resumable bool
+	// Public routes need no API key.
+	Public bool
+	// Priority is the rank of the requests among those of their service; 0 is the most urgent.
+	Priority int
+}
+
+// Organisation is a customer whose callers send one of its API keys.
+type Organisation struct {
+	Name string
+	// Priority, if not nil, replaces that of the route.
+	Priority *int
+	Quota    Quota
+}
+
+// Quota limits what an organisation may use, over all entries together.
+type Quota struct {
+	// Rate is in units a second, and Burst in units; a Rate of 0 is no limit.
+	Rate, Burst float64
+	// PerToken is set if the unit is the token; otherwise it is the request.
+	PerToken bool
+	// PlainTokens is the cost of a request without a model, in tokens.
+	PlainTokens float64
+}
+
+// Cost returns the units that a request uses. tokens is the sum of its prompt and its longest
+// answer; 0 for requests without a model.
+func (q *Quota) Cost(tokens int) float64 {
+	switch {
+	case !q.PerToken:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return q.PlainTokens
+	}
 }
 
 // TrafficShare is the relative part of a route's requests that a service receives.
@@ -87,6 +124,9 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Keys holds the API keys of the organisations; nil if the deployment has none, and
+	// requests need no key.
+	Keys *apikey.Table[*Organisation]
 }
 
 // Stage is the role of a model server.
--- a/internal/release/fleetstate.go
+++ b/internal/release/fleetstate.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 
+	"github.com/samphirestream/samphirestream/internal/apikey"
 	"github.com/samphirestream/samphirestream/internal/strictyaml"
 )
 
@@ -36,8 +37,7 @@
 
 // index holds lookup tables and sorted lists that are derived from the items.
 type index struct {
-	// providersByDigest is keyed by the digest of a bearer key.
-	providersByDigest map[string]Provider
+	providersByKey *apikey.Table[Provider]
 	// modelsByName is keyed by NAME@VERSION, by the name of a model with a default
 	// version, and by the name of an adapter.
 	modelsByName     map[string]Model
@@ -161,14 +161,18 @@
 // buildIndex derives the index from the items.
 func (state *FleetState) buildIndex() index {
 	ix := index{
-		providersByDigest: map[string]Provider{},
-		modelsByName:      map[string]Model{},
-		pools:             map[poolKey][]BackendServer{},
-		serversByService:  map[string][]BackendServer{},
+		providersByKey:   apikey.NewTable[Provider](),
+		modelsByName:     map[string]Model{},
+		pools:            map[poolKey][]BackendServer{},
+		serversByService: map[string][]BackendServer{},
 	}
 	for _, p := range state.providers {
 		for _, k := range p.KeyDigests {
-			ix.providersByDigest[k] = p
+			d, err := apikey.ParseDigest(k)
+			if err != nil {
+				continue // validation rejects notes with other digests
+			}
+			ix.providersByKey.Add(d, p)
 		}
 	}
 	for key, m := range state.models {
@@ -206,8 +210,7 @@
 
 // ProviderByKey returns the provider that owns a bearer key.
 func (state *FleetState) ProviderByKey(key string) (Provider, bool) {
-	p, ok := state.index.providersByDigest[Digest([]byte(key))]
-	return p, ok
+	return state.index.providersByKey.Lookup(key)
 }
 
 // Model returns the model that name refers to: NAME@VERSION, the NAME of a
