--- a/internal/loadexchange/freshness.go
+++ b/internal/loadexchange/freshness.go
@@ -1,6 +1,7 @@
 package loadexchange
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -34,9 +35,10 @@
 }
 
 const (
-	// freshnessPeers is the number of peers that are asked at once, so that one that is lost
-	// does not delay the answer.
-	freshnessPeers = 2
+	// entriesPerReader is the number of entries for each of those that ask the registry first,
+	// and minReaders the least number of these, so that one that is cut off delays nobody.
+	entriesPerReader = 16
+	minReaders       = 2
 	// freshnessTTL is the time for which an answer to a question is accepted.
 	freshnessTTL = 2 * time.Second
 	// maxFreshnessAge bounds the age in an answer: a larger one is of no use, and would
@@ -44,9 +46,36 @@
 	maxFreshnessAge = time.Hour
 )
 
-// AskFreshness asks some peers for the age of their knowledge of the registry. What they
-// answer is at least as recent as the time of the question less that age, whatever the
-// datagrams took and whatever the clocks of the peers show.
+// readersLocked returns the entries that ask the registry before the others do, so that these
+// learn from them: the first of all live entries in the order of their rendezvous weights.
+// Views may differ; then an entry more or less asks.
+func (x *Exchange) readersLocked(now time.Time) []string {
+	entries := []string{x.options.Self}
+	for addr, p := range x.peers {
+		if p.alive(now, x.timeoutLocked()) {
+			entries = append(entries, addr)
+		}
+	}
+	weights := map[string]uint64{}
+	for _, addr := range entries {
+		weights[addr] = rendezvousWeight("registry", addr)
+	}
+	slices.SortFunc(entries, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+	return entries[:min(len(entries), max(minReaders, len(entries)/entriesPerReader))]
+}
+
+// ReadsRegistry reports whether this entry is one of those that ask the registry before the
+// others do.
+func (x *Exchange) ReadsRegistry() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.Contains(x.readersLocked(time.Now()), x.options.Self)
+}
+
+// AskFreshness asks two peers, one of those that ask the registry first and any other one, for
+// the age of their knowledge of the registry. What they answer is at least as recent as the
+// time of the question less that age, whatever the datagrams took and whatever the clocks of
+// the peers show.
 func (x *Exchange) AskFreshness() {
 	if x.options.Registry == nil {
 		return
@@ -59,16 +88,18 @@
 			alive = append(alive, addr)
 		}
 	}
+	readers := x.readersLocked(wall)
 	maps.DeleteFunc(x.freshnessAsked, func(_ uint64, at time.Duration) bool { return now-at > freshnessTTL })
 	nonce := rand.Uint64()
 	x.freshnessAsked[nonce] = now
 	x.mu.Unlock()
-	slices.Sort(alive)
-	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	to := map[string]bool{}
-	for _, addr := range alive[:min(len(alive), freshnessPeers)] {
-		to[addr] = true
+	for _, list := range [][]string{readers, alive} {
+		if len(list) > 0 {
+			to[list[rand.IntN(len(list))]] = true
+		}
 	}
+	delete(to, x.options.Self)
 	x.send(&message{Incarnation: x.incarnation, Freshness: &freshnessPart{Nonce: nonce}}, to)
 }
 
--- /dev/null
+++ b/internal/loadexchange/freshness_test.go
@@ -0,0 +1,77 @@
+package loadexchange
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/directory"
+)
+
+// registry is the knowledge of one member, on a clock that starts at its own time.
+type registry struct {
+	offset    time.Duration
+	began     time.Time
+	asOf      atomic.Int64
+	at        directory.Version
+	confirmed atomic.Int64
+}
+
+func (r *registry) Now() time.Duration { return r.offset + time.Since(r.began) }
+
+func (r *registry) Known() (directory.Version, time.Duration, bool) {
+	return r.at, r.Now() - time.Duration(r.asOf.Load()), true
+}
+
+func (r *registry) Confirmed(at directory.Version, asOf time.Duration) {
+	if at == r.at {
+		r.confirmed.Store(max(r.confirmed.Load(), int64(asOf)))
+	}
+}
+
+// TestFreshnessIsNeverOverstated guards against withdrawn keys that are used on since clocks
+// differ or datagrams take long: what a peer confirms is as old at least as what it knows.
+func TestFreshnessIsNeverOverstated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		began := time.Now()
+		reader := &registry{offset: time.Hour, began: began, at: directory.Version{Era: 1, Revision: 9}}
+		reader.asOf.Store(int64(time.Hour))
+		other := &registry{offset: time.Minute, began: began, at: directory.Version{Era: 1, Revision: 9}}
+		peer := n.startWith(Options{Self: a, Registry: reader}, 0)
+		asker := n.startWith(Options{Self: b, Seeds: []string{a}, Registry: other}, 0)
+		time.Sleep(2 * time.Second)
+		asker.AskFreshness()
+		synctest.Wait()
+		// The reader has known the state since its start and nothing since then.
+		is.True(time.Duration(other.confirmed.Load()) <= time.Minute)
+		is.True(time.Duration(other.confirmed.Load()) > time.Minute-50*time.Millisecond)
+		reader.asOf.Store(int64(time.Hour + 2*time.Second))
+		asker.AskFreshness()
+		synctest.Wait()
+		is.True(time.Duration(other.confirmed.Load()) <= time.Minute+2*time.Second)
+		is.True(time.Duration(other.confirmed.Load()) > time.Minute+1900*time.Millisecond)
+		asker.stop()
+		peer.stop()
+		time.Sleep(time.Second) // both end
+	})
+}
+
+// TestFewEntriesReadTheRegistryFirst guards against a registry that all entries ask at once,
+// and against none that does.
+func TestFewEntriesReadTheRegistryFirst(t *testing.T) {
+	run(t, func(t *testing.T, _ *network, m [3]*member) {
+		is := is.New(t)
+		readers := 0
+		for _, e := range m {
+			if e.ReadsRegistry() {
+				readers++
+			}
+		}
+		is.Equal(readers, minReaders)
+	})
+}
