loadexchange, platform: a configuration that the store has lost is fetched before keys are taken

An entry that starts while the store is back from an older copy read withdrawn keys as valid until a peer's configuration came, a second later at the least. It asks at once, and refuses keys until then. TestLostConfigurationIsReported failed before.

--- a/internal/loadexchange/configs.go
+++ b/internal/loadexchange/configs.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/samphirestream/samphirestream/internal/directory"
 )
 
 const (
@@ -16,6 +18,9 @@
 	configBurst = 8
 	// configPartBytes is the size of a part of a configuration in a datagram.
 	configPartBytes = 6 << 10
+	// lostTTL is the time after the last message of a peer with a configuration that the
+	// registry has lost for which that one is waited for.
+	lostTTL = 5 * time.Second
 	// maxConfigBytes bounds a configuration that is taken from a peer.
 	maxConfigBytes = 4 << 20
 )
@@ -38,6 +43,9 @@
 	// aheadSince is the time at which a peer was first known to have a newer one; zero
 	// while none has. asked is the time at which parts were last asked for.
 	aheadSince, asked time.Time
+	// lostUntil is the time until which a configuration is waited for that a peer has and the
+	// registry has lost.
+	lostUntil time.Time
 	// fetched is the beginning of the text of the version fetching, and burst the number of
 	// its parts since asked.
 	fetching uint64
@@ -52,10 +60,26 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if c := &x.configs; version > c.version {
-		c.version, c.text, c.aheadSince = version, text, time.Time{}
+		c.version, c.text, c.aheadSince, c.lostUntil = version, text, time.Time{}, time.Time{}
 	}
 }
 
+// ConfigLost reports whether a peer has a newer configuration that the registry has lost: it
+// came back older, and this entry started since. Keys that are withdrawn in it must not be
+// accepted meanwhile.
+func (x *Exchange) ConfigLost() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Now().Before(x.configs.lostUntil)
+}
+
+// lostLocked reports whether the registry has lost the configuration of the sender of a
+// message: this entry has read at least the same state and found an older one.
+func (x *Exchange) lostLocked(m *message) bool {
+	read := directory.Version{Era: m.RegistryEra, Revision: m.RegistryRevision}
+	return m.ConfigVersion > x.configs.version && x.configs.version > 0 && m.RegistryRevision > 0 && !x.registry.Before(read)
+}
+
 // exchangeConfigs answers a peer that asks for a part of the configuration, and takes a part
 // that was asked for.
 func (x *Exchange) exchangeConfigs(from string, m *message, now time.Time) {
@@ -75,6 +99,10 @@
 // text of a newer configuration once it is whole.
 func (x *Exchange) exchangeConfigsLocked(m *message, now time.Time) (out []*configPart, whole []byte) {
 	c, part := &x.configs, m.Config
+	lost := x.lostLocked(m)
+	if lost {
+		c.lostUntil = now.Add(lostTTL)
+	}
 	switch {
 	case part != nil && part.Data != nil:
 		return c.take(part, now)
@@ -82,10 +110,10 @@
 		return c.parts(part), nil
 	case m.ConfigVersion <= c.version || x.options.OnConfig == nil:
 		return nil, nil
-	case c.aheadSince.IsZero():
+	case c.aheadSince.IsZero() && !lost:
 		c.aheadSince = now
 		return nil, nil
-	case now.Sub(c.aheadSince) < configDelay || now.Sub(c.asked) < configRetry:
+	case !lost && now.Sub(c.aheadSince) < configDelay || now.Sub(c.asked) < configRetry:
 		return nil, nil
 	}
 	if c.fetching != m.ConfigVersion {
--- a/internal/loadexchange/configs_test.go
+++ b/internal/loadexchange/configs_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/directory"
 )
 
 // startReader starts a member that records the configurations that it takes from peers.
@@ -122,3 +124,37 @@
 	_, whole = c.take(&configPart{Version: 3, Offset: 5, Size: 6, Data: []byte("f")}, now)
 	is.Equal(string(whole), "abcdef")
 }
+
+// TestLostConfigurationIsReported guards against an entry that starts after the registry came
+// back older and accepts keys that its peers know to be withdrawn. An entry that only has not
+// read a change yet has lost nothing.
+func TestLostConfigurationIsReported(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read directory.Version
+		lost bool
+	}{
+		{"the registry came back older", directory.Version{Era: 2, Revision: 5}, true},
+		{"the change was not read yet", directory.Version{Era: 2, Revision: 4}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				peer, _ := n.startReader(a, 1)
+				peer.SetRegistry(directory.Version{Era: 2, Revision: 5})
+				peer.SetConfig(7, []byte("newer"))
+				m, received := n.startReader(b, 1, a)
+				m.SetRegistry(c.read)
+				time.Sleep(configDelay / 4)
+				is.Equal(m.ConfigLost(), c.lost)
+				is.Equal(received.Load() != nil, c.lost)
+				m.SetConfig(7, []byte("newer"))
+				is.True(!m.ConfigLost())
+				peer.stop()
+				m.stop()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
