loadexchange: addresses of peers are not resolved as names

A datagram that listed a peer by something that is no address led to a DNS lookup in the loop that sends to all peers, which then sent nothing for as long as that took.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -10,6 +10,7 @@
 	"context"
 	"hash/fnv"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -501,12 +502,12 @@
 
 // write sends one datagram.
 func (x *Exchange) write(b []byte, addr string) {
-	to, err := net.ResolveUDPAddr("udp", addr)
+	to, err := netip.ParseAddrPort(addr) // names are not resolved, which would block the exchange
 	if err != nil {
 		_ = level.Warn(x.log).Log("msg", "peer has no usable address", "peer", addr, "err", err)
 		return
 	}
-	if _, err := x.conn.WriteTo(b, to); err != nil {
+	if _, err := x.conn.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
 		_ = level.Debug(x.log).Log("msg", "load not shared", "peer", addr, "err", err)
 	}
 }
@@ -573,6 +574,9 @@
 		changed = x.removePeerLocked(from)
 	}
 	for _, addr := range m.Members {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			continue // not an address of an entry
+		}
 		if _, ok := x.peers[addr]; !ok && addr != x.options.Self {
 			x.peers[addr] = newPeer(0)
 			x.peers[addr].lastReceived = now.Add(-x.timeoutLocked())
