loadexchange: use of quotas, and levels for entries that start

Messages carry the cumulative sums of the organisations whose use is new, full messages also those of the last four seconds, so that a lost datagram is repaired within a second. While an organisation has a limit, an entry that has sent nothing for 250 ms sends what is new, so that silence is noticed. Peers that were just found get the levels in steps of 1/32 of the burst: 760 organisations take about 770 bytes. Sums beyond 1 KiB go into messages of their own of at most 6 KiB.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -23,6 +23,7 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/predict"
+	"github.com/samphirestream/samphirestream/internal/quota"
 )
 
 // Intervals, timeouts and size limits.
@@ -78,6 +79,9 @@
 	// Registry, if not nil, is the entry's knowledge of the registry, of which the entries
 	// tell each other the age.
 	Registry Registry
+	// Quotas, if not nil, are the quotas of organisations, of which the entries tell each other
+	// their use.
+	Quotas *quota.Table
 }
 
 // Handler receives what the peers report.
@@ -132,6 +136,10 @@
 	speeds      map[string]predict.SpeedSums
 	dirtySpeeds map[string]bool
 	sentSpeeds  map[string]float64
+	// dirtyQuotas is set if the use of quotas is to be sent before the next full message.
+	dirtyQuotas bool
+	// lastSent is the time of the last message to all live peers.
+	lastSent time.Time
 	// remotePools are the pools for which a peer has ever reported waiting requests.
 	remotePools map[string]bool
 	// registry is the newest state of the registry that this entry has read.
@@ -360,6 +368,8 @@
 	full := time.NewTimer(fullInterval)
 	defer full.Stop()
 	x.sendFull(false)
+	tick := time.NewTimer(x.tick(time.Now()))
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -371,6 +381,8 @@
 			x.sendFull(false)
 			x.sendEvidence(true)
 			full.Reset(x.fullInterval())
+		case <-tick.C:
+			tick.Reset(x.tick(time.Now()))
 		case <-x.flush:
 			time.Sleep(batchDelay)
 			x.sendToNewPeers()
@@ -391,6 +403,11 @@
 	m := x.fullLocked(time.Now(), complete, members)
 	x.fulls++
 	m.Leaving = leaving
+	var more []*message
+	if x.options.Quotas != nil {
+		more = x.addQuotasLocked(m, x.options.Quotas.Recent(time.Now()))
+	}
+	x.dirtyQuotas, x.lastSent = false, time.Now()
 	to := map[string]bool{}
 	for _, seed := range x.seeds {
 		to[seed] = true
@@ -404,7 +421,7 @@
 	}
 	x.mu.Unlock()
 	delete(to, x.options.Self)
-	x.send(m, to)
+	x.sendEach(append(more, m), to)
 }
 
 // sendToNewPeers sends a full message to the peers that were just discovered and may
@@ -425,6 +442,7 @@
 	m := x.fullLocked(time.Now(), true, members)
 	x.mu.Unlock()
 	x.send(m, to)
+	x.sendQuotasTo(to)
 	x.sendAllEvidence(to)
 }
 
@@ -465,7 +483,7 @@
 // sendChanges sends what has changed since the last message to the live peers.
 func (x *Exchange) sendChanges() {
 	x.mu.Lock()
-	if len(x.dirty)+len(x.dirtyWaits)+len(x.dirtySpeeds) == 0 {
+	if len(x.dirty)+len(x.dirtyWaits)+len(x.dirtySpeeds) == 0 && !x.dirtyQuotas {
 		x.mu.Unlock()
 		return
 	}
@@ -477,6 +495,8 @@
 	}
 	m.Waits, m.Speeds = x.waitingLocked(x.dirtyWaits, now), x.speedsLocked(x.dirtySpeeds)
 	x.dirty, x.dirtyWaits, x.dirtySpeeds = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	more := x.addQuotasLocked(m, x.quotaNewsLocked())
+	x.lastSent = now
 	to := map[string]bool{}
 	for addr, p := range x.peers {
 		if p.alive(now, x.timeoutLocked()) {
@@ -484,7 +504,7 @@
 		}
 	}
 	x.mu.Unlock()
-	x.send(m, to)
+	x.sendEach(append(more, m), to)
 }
 
 // send sends a message to some peers, one datagram each. The next full message
@@ -608,6 +628,7 @@
 		x.handler.SetRemoteOrigins(software, streams)
 	}
 	x.answerOrigins(from, m.AskedOrigins)
+	x.applyQuotas(from, m, now)
 	x.applyEvidence(m, now)
 	x.exchangeConfigs(from, m, now)
 	x.exchangeFreshness(from, m.Freshness)
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/predict"
+	"github.com/samphirestream/samphirestream/internal/quota"
 )
 
 // BrokenCallWindow is the time for which a broken call is included in messages.
@@ -199,6 +200,12 @@
 	// Freshness is about the age of what is known of the registry; in messages to some peers
 	// only.
 	Freshness *freshnessPart `cbor:"18,keyasint,omitempty"`
+	// Quotas are what the sender has used of quotas, and Levels the levels of its buckets; those
+	// only in messages to peers that were just found.
+	Quotas []quota.Use   `cbor:"19,keyasint,omitempty"`
+	Levels *quota.Levels `cbor:"20,keyasint,omitempty"`
+	// Known is the number of entries that the sender has heard of lately; 0 if it does not say.
+	Known int `cbor:"21,keyasint,omitempty"`
 	// Leaving is set in the last message of a process that stops.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 }
