router, platform: refuse requests over the quota of their organisation

A request of an organisation with a rate is charged after its key is checked, by the sum of its tokens, plain_tokens or 1. Over the quota it gets 429 with the time until it fits, lengthened by up to a quarter at random. Requests that no server ran are refunded. Counters quota_refused, quota_refunded and quota_tokens, log fields quota_cost and quota_level, and the state dump show it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -127,6 +127,8 @@
 	// Keys holds the API keys of the organisations; nil if the deployment has none, and
 	// requests need no key.
 	Keys *apikey.Table[*Organisation]
+	// Organisations are the owners of the keys, with their quotas.
+	Organisations []*Organisation
 }
 
 // Stage is the role of a model server.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -25,8 +25,12 @@
 	service string
 	// organisation is nil for requests without one.
 	organisation *directory.Organisation
-	engine       *directory.Engine
-	budget       *retry.Budget
+	// quotaCost is the cost of the call in the units of the organisation's quota, and quotaLevel
+	// what is left of the quota after the decision; quotaCharged is set while it is charged.
+	quotaCost, quotaLevel float64
+	quotaCharged          bool
+	engine                *directory.Engine
+	budget                *retry.Budget
 	// sharedCauses and ownCauses are why a server may end under the call (see blame.Request).
 	// ownCauses is nil until a server has ended.
 	sharedCauses, ownCauses []blame.Key
@@ -83,6 +87,9 @@
 	// unknownKeys counts requests whose key no organisation has, and staleKeys those that were
 	// refused because the entry's knowledge of the keys was stale.
 	unknownKeys, staleKeys *expvar.Int
+	// quotaRefused counts requests over the quota of their organisation, quotaRefunded those that
+	// were charged and did not run, and quotaTokens the units that were charged.
+	quotaRefused, quotaRefunded, quotaTokens *expvar.Int
 	// limitedPlain, limitedPrefills and limitedDecodes count requests to servers that name
 	// a limit.
 	limitedPlain, limitedPrefills, limitedDecodes *expvar.Int
@@ -98,6 +105,7 @@
 		retries: set.Counter("retries"), retriesRefused: set.Counter("retries_refused"), moves: set.Counter("decode_moves"),
 		suspected: set.Counter("suspected"), resumed: set.Counter("resumed"), lostWithServer: set.Counter("lost_with_server"), refusedBlamed: set.Counter("refused_blamed"),
 		unknownKeys: set.Counter("unknown_keys"), staleKeys: set.Counter("stale_keys"),
+		quotaRefused: set.Counter("quota_refused"), quotaRefunded: set.Counter("quota_refunded"), quotaTokens: set.Counter("quota_tokens"),
 		limitedPlain: set.Counter("limited_plain"), limitedPrefills: set.Counter("limited_prefills"), limitedDecodes: set.Counter("limited_decodes"),
 	}
 }
@@ -136,6 +144,9 @@
 	if x.organisation != nil {
 		out = append(out, "organisation", x.organisation.Name)
 	}
+	if x.quotaCost > 0 {
+		out = append(out, "quota_cost", x.quotaCost, "quota_level", int(x.quotaLevel))
+	}
 	return out
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -33,6 +33,8 @@
 	ReportSurvived(causes map[blame.Key]time.Time)
 	// Alive returns the number of other entries that are heard of.
 	Alive() int
+	// PublishQuotas publishes what was charged to quotas and not published yet, at once.
+	PublishQuotas()
 	// Entries returns the number of entries, this one included.
 	Entries() int
 	// Rank returns the position of this entry among all in an order that depends on key,
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -56,6 +56,7 @@
 func (*recordingPeers) ReportSurvived(map[blame.Key]time.Time)        {}
 func (*recordingPeers) Alive() int                                    { return 0 }
 
+func (*recordingPeers) PublishQuotas()                  {}
 func (*recordingPeers) Entries() int                    { return 1 }
 func (*recordingPeers) Rank(string) (rank, entries int) { return 0, 1 }
 
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -9,6 +9,7 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/predict"
+	"github.com/samphirestream/samphirestream/internal/quota"
 )
 
 // Snapshot is the state of a router, for operators.
@@ -26,6 +27,8 @@
 	Speeds map[string]SpeedSnapshot
 	// Blames are why requests are refused under which servers have ended, the latest first.
 	Blames []BlameSnapshot
+	// Quotas are the organisations with a limit; nil if there are none.
+	Quotas *quota.State `json:",omitempty"`
 }
 
 // BlameSnapshot is why requests with certain causes are refused.
@@ -104,6 +107,10 @@
 	snap := r.directory.Current()
 	out := Snapshot{ReadAgo: time.Since(snap.ReadAt).Milliseconds(), Waiting: r.dispatch.QueueLength(), Entries: r.entries(), Speeds: r.speeds()}
 	out.Blames = newBlameSnapshots(r.blame.Blames(time.Now()), time.Now())
+	if r.quotas.Limited() {
+		state := r.quotas.State(time.Now())
+		out.Quotas = &state
+	}
 	if snap.Config != nil {
 		out.Version = snap.Config.Version
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/samphirestream/samphirestream/internal/dispatch"
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/placement"
+	"github.com/samphirestream/samphirestream/internal/quota"
 	"github.com/samphirestream/samphirestream/internal/retry"
 	"github.com/samphirestream/samphirestream/internal/schedule"
 )
@@ -44,6 +45,8 @@
 	// MaxKeyAge is allowed.
 	KeyAge    func() time.Duration
 	MaxKeyAge time.Duration
+	// Quotas are shared with the exchange with other entries; nil for a single entry.
+	Quotas *quota.Table
 }
 
 // BudgetOptions bound the attempts beyond the first of each request, counted
@@ -78,6 +81,9 @@
 	blame *blame.Record
 	// trials is held by the request under suspicion that runs.
 	trials *semaphore.Weighted
+	quotas *quota.Table
+	// quotaConfig is the configuration whose quotas are in force.
+	quotaConfig atomic.Pointer[directory.Config]
 
 	// lastFence is the fence of the last order.
 	lastFence atomic.Int64
@@ -96,6 +102,9 @@
 		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, maxWaits: map[string]*recentMax{}, count: newCounters(), started: time.Now(),
 		origins: origin.NewTable(), blame: blame.NewRecord(), trials: semaphore.NewWeighted(1),
 	}
+	if r.quotas = o.Quotas; r.quotas == nil {
+		r.quotas = quota.NewTable(time.Now(), true)
+	}
 	r.dispatch = dispatch.New(r.fleet, dispatch.Options{
 		MaxQueued: o.MaxQueued, NewPlanner: func(service string) *placement.Planner { return newPlanner(r.fleet.speedsOf(service)) }, Policy: newPolicy(), Order: schedule.FIFO{},
 		MemoryShare: projectedShare, WaitWeight: waitWeight, RefuseWhileDown: true, Announce: r.announce,
@@ -123,6 +132,12 @@
 		x.fail(refusal)
 		return
 	}
+	r.configureQuotas(snap.Config)
+	if refusal := x.chargeQuota(); refusal != nil {
+		x.fail(refusal)
+		return
+	}
+	defer x.refundQuota()
 	x.service = x.route.Service(c.streamID())
 	x.deadline = c.Arrived.Add(x.route.Timeout)
 	if c.Deadline.Before(x.deadline) {
