--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -19,7 +21,9 @@
 	// aliveTime is the time for which the exchange takes a silent peer to be alive.
 	aliveTime = 2500 * time.Millisecond
 	fullEvery = time.Second
-	requestID = 5200 // tokens of a usual request
+	usualCost = 5200 // tokens of a request
+	// seedsEnv is the environment variable that sets the number of seeds.
+	seedsEnv = "QUOTA_SEEDS"
 )
 
 type simMessage struct {
@@ -73,7 +77,7 @@
 
 func newSim(seed uint64, entries int, limits ...[]Limit) *sim {
 	s := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), pending: map[int64][]simMessage{}, limits: limits, delay: 10 * time.Millisecond, load: make([]float64, len(limits[0]))}
-	s.cost = func() float64 { return requestID }
+	s.cost = func() float64 { return usualCost }
 	for range entries {
 		s.entries = append(s.entries, &simEntry{})
 	}
@@ -193,7 +197,7 @@
 	}
 	for org, load := range s.load {
 		mean := s.cost()
-		for n := load * simStep.Seconds() / requestID; n > 0; n-- {
+		for n := load * simStep.Seconds() / usualCost; n > 0; n-- {
 			if s.rnd.Float64() >= n || total == 0 {
 				continue
 			}
@@ -267,8 +271,8 @@
 // through faults of the network and of entries, at up to eight times the rate.
 func TestUseStaysWithinTheBound(t *testing.T) {
 	seeds := 16
-	if testing.Short() {
-		seeds = 4
+	if n, err := strconv.Atoi(os.Getenv(seedsEnv)); err == nil {
+		seeds = n
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
@@ -279,7 +283,7 @@
 			s := newSim(uint64(seed), entries, usualLimits, lower)
 			s.loss = []float64{0, 0.02, 0.1, 0.3}[rnd.IntN(4)]
 			s.spread()
-			s.cost = func() float64 { return []float64{requestID, 2 * requestID * rnd.Float64()}[seed%2] }
+			s.cost = func() float64 { return []float64{usualCost, 2 * usualCost * rnd.Float64()}[seed%2] }
 			var lowered time.Time
 			var events []string
 			note := func(format string, args ...any) {
--- a/internal/quota/contacts.go
+++ b/internal/quota/contacts.go
@@ -16,7 +16,10 @@
 	silence = 350 * time.Millisecond
 	// settling is the time for which a peer must be heard before it counts as in contact, so
 	// that what it used while it was silent is subtracted from the reserve for it.
-	settling    = 300 * time.Millisecond
+	settling = 300 * time.Millisecond
+	// maxLate bounds the time that is added to silence after a late tick. A process that was
+	// stopped for longer takes its peers to be out of contact.
+	maxLate     = 400 * time.Millisecond
 	knownTime   = 60 * time.Second
 	peersScaled = 100
 	// Within discoveryTime of its start an entry counts at least assumedEntries.
@@ -59,12 +62,20 @@
 type contacts struct {
 	started time.Time
 	peers   map[string]*contact
+	// late is the time by which the last ticks were late. Messages may have waited as long in a
+	// process that got no processor time.
+	late time.Duration
+}
+
+// tick records the time between two ticks.
+func (c *contacts) tick(elapsed time.Duration) {
+	c.late = max(min(elapsed-TickInterval, maxLate), c.late/2)
 }
 
 // silence returns the time after which a peer is out of contact. Like the interval of messages
 // it grows with the number of peers.
 func (c *contacts) silence() time.Duration {
-	return silence * time.Duration(max(peersScaled, len(c.peers))) / peersScaled
+	return silence*time.Duration(max(peersScaled, len(c.peers)))/peersScaled + c.late
 }
 
 // hear records a message of a peer. A message that arrives after the last one of its sender is
--- a/internal/quota/table.go
+++ b/internal/quota/table.go
@@ -204,6 +204,7 @@
 }
 
 func (t *Table) tick(now time.Time) {
+	t.contacts.tick(now.Sub(t.ticked))
 	t.ticked = now
 	if t.alone {
 		return
@@ -457,11 +458,18 @@
 	Rows    []Row
 }
 
+// Fleet returns the state without the organisations.
+func (t *Table) Fleet() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return State{Heard: t.fleet.heard, Known: t.fleet.known, Adopted: t.adopted}
+}
+
 // State returns the present state of the organisations with a limit.
 func (t *Table) State(now time.Time) State {
+	out := t.Fleet()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := State{Heard: t.fleet.heard, Known: t.fleet.known, Adopted: t.adopted}
 	for _, b := range t.order {
 		if b.limit.Rate <= 0 {
 			continue
--- a/internal/quota/table_test.go
+++ b/internal/quota/table_test.go
@@ -118,6 +118,20 @@
 	is.Equal(q.levelAt(now), 1000.0)
 }
 
+// TestLateTicksDoNotEndContact guards against refusals on a machine whose processor is busy for
+// some tenths of a second, and against the whole level after a longer stop.
+func TestLateTicksDoNotEndContact(t *testing.T) {
+	for late, heard := range map[time.Duration]int{300 * time.Millisecond: 2, 500 * time.Millisecond: 2, time.Minute: 1} {
+		is := is.New(t)
+		q, now := newPair()
+		q.Tick(now.Add(late))
+		is.Equal(q.State(now).Heard, heard)
+		q.Tick(now.Add(late + 500*time.Millisecond))
+		q.Tick(now.Add(late + 550*time.Millisecond))
+		is.Equal(q.State(now).Heard, 1) // no message came
+	}
+}
+
 // TestUnknownEntriesOfPeersCount guards against an entry that starts during a partition and takes
 // its group for the whole fleet.
 func TestUnknownEntriesOfPeersCount(t *testing.T) {
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -184,6 +184,8 @@
 		return worst
 	})
 	set.Gauge("blames", func() any { return len(r.blame.Blames(time.Now())) })
+	set.Gauge("quota_entries_heard", func() any { return r.quotas.Fleet().Heard })
+	set.Gauge("quota_entries_known", func() any { return r.quotas.Fleet().Known })
 	set.Gauge("waiting", func() any { return r.dispatch.QueueLength() })
 	for name, counts := range map[string]func(ServerSnapshot) int{
 		"servers":           func(ServerSnapshot) int { return 1 },
