quota: a peer that was just found is not charged for what the adopted level includes

An entry that starts first hears of its peers by the lists of others, and took their first messages for those of known peers: it charged their use of the last seconds on top of the adopted level.

The test of the bound applies a lower limit from the time at which all entries have it, not 8 s later.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -354,7 +354,7 @@
 			}
 			for org, l := range usualLimits {
 				at := func(from time.Time) Limit {
-					if !lowered.IsZero() && from.After(lowered.Add(boundWindow)) {
+					if !lowered.IsZero() && !from.Before(lowered) {
 						return lower[org]
 					}
 					return l
@@ -419,3 +419,28 @@
 		is.True(got > 0.3*20*usualLimits[org].Rate) // a few entries have most of the load
 	}
 }
+
+// TestRollingRestartsRefuseLittle guards against entries that start and charge what the adopted
+// level already includes, when datagrams are lost.
+func TestRollingRestartsRefuseLittle(t *testing.T) {
+	is := is.New(t)
+	s := newSim(5, 31, usualLimits)
+	s.spread()
+	s.run(5 * time.Second)
+	s.loss = 0.05
+	for org, l := range usualLimits {
+		s.load[org] = 3 * l.Rate
+		s.ideal = append(s.ideal, &bucket{limit: Limit{Rate: 0.8 * l.Rate, Burst: 0.8 * l.Burst}, updated: s.now.Add(-time.Second)})
+	}
+	for i := range 12 {
+		s.run(2 * time.Second)
+		s.leave(i, true)
+		s.run(time.Second)
+		s.start(i)
+		s.run(500 * time.Millisecond)
+		for _, row := range s.entries[i].State(s.now).Rows {
+			is.True(row.Level+row.Reserve > -row.Burst)
+		}
+	}
+	is.True(100*s.refused < len(s.runs))
+}
--- a/internal/quota/table.go
+++ b/internal/quota/table.go
@@ -63,6 +63,7 @@
 // remote is what one peer has reported.
 type remote struct {
 	incarnation int64
+	since       time.Time // when it was first heard
 	// fresh is set if the process started after the last one at its address was known: its sums
 	// began at 0.
 	fresh bool
@@ -321,7 +322,7 @@
 	p := t.contacts.hear(now, peer, incarnation, known, leaving)
 	r, ok := t.remotes[peer]
 	if !ok || r.incarnation != incarnation {
-		r = &remote{incarnation: incarnation, fresh: ok, sums: map[string]remoteSum{}}
+		r = &remote{incarnation: incarnation, since: now, fresh: ok, sums: map[string]remoteSum{}}
 		t.remotes[peer] = r
 	}
 	for _, u := range uses {
@@ -333,8 +334,8 @@
 		switch {
 		case ok || r.fresh:
 			added = u.Sum - former.sum
-		case p.state == uncounted:
-			added = 0 // the level that is adopted from a peer includes it
+		case now.Sub(r.since) < settling:
+			added = 0 // the adopted level includes it
 		}
 		r.sums[u.Name] = remoteSum{sum: u.Sum, seq: seq}
 		b := t.buckets[u.Name]
