--- a/internal/predict/speeds.go
+++ b/internal/predict/speeds.go
@@ -68,7 +68,12 @@
 // StepMillis returns the time between the tokens of one of a number of running
 // requests, in milliseconds.
 func (s *Speeds) StepMillis(running int) float64 {
-	return s.step.At(float64(running), s.prior.Load().StepMillis)
+	return s.stepAt(float64(running))
+}
+
+// stepAt is StepMillis for a mean number of running requests.
+func (s *Speeds) stepAt(running float64) float64 {
+	return s.step.At(running, s.prior.Load().StepMillis)
 }
 
 // StepError returns the mean relative error of StepMillis: 0.1 when the greater of
