router: the split of the stages counts servers by their speed

Servers of a slow data centre counted like others, so that a stage of slow servers looked large enough. Demand is now in the time of usual servers, and a stage has the sum of its servers' speeds. The slowest servers leave the prefill stage first and the fastest the decode stage; among equal ones the order is by use as before. TestBestSplit has the same results for servers of the usual speed.

--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -92,7 +91,7 @@
 				continue
 			}
 			d := b.demand(svc.Engine, firstTokenTarget(snap.Config, svc))
-			n := prefills - d.bestSplit(prefills, decodes)
+			n := len(prefills) - d.bestSplit(prefills, decodes)
 			if !b.lasting(n, svc.Engine.StageChangeTime) {
 				continue
 			}
@@ -101,10 +100,10 @@
 				from, n = directory.Decode, -n
 			}
 			b.ordered, b.lastOrders = true, time.Now()
-			_ = level.Info(r.log).Log("msg", "split changes", "service", name, "prefill_servers", prefills, "decode_servers", decodes,
+			_ = level.Info(r.log).Log("msg", "split changes", "service", name, "prefill_servers", len(prefills), "decode_servers", len(decodes), "prefill_speed", sum(prefills), "decode_speed", sum(decodes),
 				"from", from, "servers", n, "prefill_demand", d.prefill, "decode_demand", d.decode, "runs", int(d.runs))
-			for _, server := range r.leastUsed(name, from, n) {
-				orders.Go(func() { r.reassign(ctx, holder, server, from, svc.Engine.StageChangeTime) })
+			for _, server := range r.toMove(name, from, n) {
+				orders.Go(func() { r.reassign(ctx, holder, server.backend, from, svc.Engine.StageChangeTime) })
 			}
 		}
 	}
@@ -141,40 +140,46 @@
 }
 
 // sampleDemand adds the runs that began since the last sample, at all entries, to the
-// demand of a service. It returns the numbers of servers of each stage; those that
-// change their stage count in the new one.
-func (r *Router) sampleDemand(service string, b *balance) (prefills, decodes int) {
+// demand of a service, in the time of usual servers. It returns the speeds of the servers of
+// each stage, in the order in which they would change it; those that change their stage now
+// count in the new one, last.
+func (r *Router) sampleDemand(service string, b *balance) (prefills, decodes []float64) {
 	wall := time.Now()
 	r.dispatch.VisitServers(service, func(now time.Duration, prefillServers, decodeServers []*backend) {
 		until := now - sampleDelay
 		since := max(b.sampledAt, until-averagingTime)
 		b.decay(until - since)
 		rate := r.fleet.speedsOf(service).PrefillRate()
+		var staying, toPrefill, toDecode []candidate
 		for _, s := range prefillServers {
-			if s.leaving() {
-				continue
-			}
-			if s.switchTimeLeft(wall) > 0 {
-				decodes++
-				continue
+			c := newCandidate(s, directory.Prefill)
+			switch {
+			case s.leaving():
+			case s.switchTimeLeft(wall) > 0:
+				toDecode = append(toDecode, c)
+			default:
+				staying = append(staying, c)
 			}
-			prefills++
 		}
+		sortCandidates(staying, directory.Prefill)
+		prefills, staying = speedsOf(staying), staying[:0]
 		for _, s := range decodeServers {
 			s.view.VisitRuns(func(run *placement.Run) {
 				if run.Began > since && run.Began <= until {
-					b.add(run, rate, s.view.StepMillis(), projectedShare*float64(s.view.Pieces()))
+					b.add(run, rate, s.view.ServiceStepMillis(), projectedShare*float64(s.view.Pieces()))
 				}
 			})
-			if s.leaving() {
-				continue
-			}
-			if s.switchTimeLeft(wall) > 0 {
-				prefills++
-				continue
+			c := newCandidate(s, directory.Decode)
+			switch {
+			case s.leaving():
+			case s.switchTimeLeft(wall) > 0:
+				toPrefill = append(toPrefill, c)
+			default:
+				staying = append(staying, c)
 			}
-			decodes++
 		}
+		sortCandidates(staying, directory.Decode)
+		prefills, decodes = append(prefills, speedsOf(toPrefill)...), append(speedsOf(staying), speedsOf(toDecode)...)
 		b.sampledAt = until
 	})
 	return prefills, decodes
@@ -298,12 +303,11 @@
 	return found
 }
 
-// leastUsed returns up to n servers of a stage that take work and have the fewest
-// prefill tokens and slots in use, but not the last decode server of a version of software
+// toMove returns up to n servers of a stage that take work, in the order in which servers
+// change it, but not the last decode server of a version of software
 // beside others.
-func (r *Router) leastUsed(service string, stage directory.Stage, n int) []*backend {
-	var found []*backend
-	use := map[*backend]int{}
+func (r *Router) toMove(service string, stage directory.Stage, n int) []candidate {
+	var found []candidate
 	r.dispatch.VisitServers(service, func(_ time.Duration, prefills, decodes []*backend) {
 		servers := prefills
 		if stage == directory.Decode {
@@ -313,11 +317,10 @@
 		for _, b := range servers {
 			last := stage == directory.Decode && len(covering) > 1 && covering[b.server.Load().Software] == 1
 			if !b.view.Unavailable && !last {
-				found = append(found, b)
-				use[b] = b.view.PrefillTokens() + b.view.SlotsUsed()
+				found = append(found, newCandidate(b, stage))
 			}
 		}
 	})
-	slices.SortStableFunc(found, func(a, b *backend) int { return cmp.Compare(use[a], use[b]) })
+	sortCandidates(found, stage)
 	return found[:min(n, len(found))]
 }
--- a/internal/router/balance_test.go
+++ b/internal/router/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,9 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 )
 
+// usual returns the speeds of n servers of the usual speed.
+func usual(n int) []float64 { return slices.Repeat([]float64{1}, n) }
+
 // TestBestSplit checks the number of prefill servers for demands of prefill and decode
 // servers.
 func TestBestSplit(t *testing.T) {
@@ -36,23 +40,54 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(tc.demand.bestSplit(tc.prefills, tc.decodes), tc.want)
+			is.Equal(tc.demand.bestSplit(usual(tc.prefills), usual(tc.decodes)), tc.want)
 		})
 	}
 }
 
+// TestSplitCountsServersBySpeed guards against a split of equal numbers of servers that are
+// not equally fast: 10 slow prefill servers do half of what 10 usual ones do.
+func TestSplitCountsServersBySpeed(t *testing.T) {
+	is := is.New(t)
+	d := stageDemand{4.7, 26, 6, 5, 1600}
+	best := d.bestSplit(usual(8), usual(39))
+	is.Equal(best, 8)
+	slow := slices.Repeat([]float64{0.55}, 8)
+	is.True(d.bestSplit(slow, usual(39)) > best)
+	is.True(d.bestSplit(usual(8), slices.Repeat([]float64{0.55}, 39)) < best)
+	var speeds []float64 // estimates of equal servers
+	for i := range 47 {
+		speeds = append(speeds, 1+0.04*float64(i%5-2))
+	}
+	is.Equal(d.bestSplit(speeds[:8], speeds[8:]), best)
+}
+
+// TestSlowServersDecode guards against orders that leave the slowest servers in the prefill
+// stage, where each first token waits for them.
+func TestSlowServersDecode(t *testing.T) {
+	is := is.New(t)
+	list := func() []candidate {
+		return []candidate{{speed: 1.2, use: 1}, {speed: 0.52, use: 9}, {speed: 1.16, use: 0}, {speed: 0.5, use: 3}, {speed: 1, use: 5}}
+	}
+	prefills, decodes := list(), list()
+	sortCandidates(prefills, directory.Prefill)
+	sortCandidates(decodes, directory.Decode)
+	is.Equal(speedsOf(prefills), []float64{0.5, 0.52, 1.16, 1.2, 1})
+	is.Equal(speedsOf(decodes), []float64{1.16, 1.2, 1, 0.5, 0.52})
+}
+
 // TestFirstRunsDoNotMoveServers has the first runs of a service be long prompts with short
 // answers, from which its split looks far from best.
 func TestFirstRunsDoNotMoveServers(t *testing.T) {
 	is := is.New(t)
 	for runs := 1.0; runs <= 10; runs++ {
 		d := stageDemand{0.05 * runs, 0.01 * runs, 6, 5, runs}
-		n := 6 - d.bestSplit(6, 19)
+		n := 6 - d.bestSplit(usual(6), usual(19))
 		is.Equal(n, 0)
 		is.True(!(&balance{}).lasting(n, 6*time.Second))
-		is.True(d.bestSplit(25, 0) <= 25-minStageServers) // a lost stage gets servers
+		is.True(d.bestSplit(usual(25), nil) <= 25-minStageServers) // a lost stage gets servers
 	}
-	is.True(stageDemand{5, 1, 6, 5, 100}.bestSplit(6, 19) > 6)
+	is.True(stageDemand{5, 1, 6, 5, 100}.bestSplit(usual(6), usual(19)) > 6)
 }
 
 // TestSplitIsStable checks that the split that a demand leads to is kept for demands
@@ -60,10 +95,10 @@
 func TestSplitIsStable(t *testing.T) {
 	is := is.New(t)
 	d := stageDemand{4.7, 26, 6, 5, 1600}
-	best := d.bestSplit(16, 31)
+	best := d.bestSplit(usual(16), usual(31))
 	for _, off := range []float64{1 - 1/math.Sqrt(300), 1 + 1/math.Sqrt(300)} {
 		moved := stageDemand{d.prefill * off, d.decode, d.runsPerServer, d.prefillsPerServer, 300}
-		is.Equal(moved.bestSplit(best, 47-best), best)
+		is.Equal(moved.bestSplit(usual(best), usual(47-best)), best)
 	}
 }
 
