emulator: servers that are not equally fast

Nothing played a fleet whose data centres differ in speed and whose servers are slow for the moment. Engine.uneven describes both.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -45,6 +45,7 @@
 	StageChangeTime time.Duration `yaml:"stage_change_time"`
 	// Latency is the one-way network latency between an entry and a server.
 	Latency time.Duration `yaml:"latency"`
+	Uneven  Uneven        `yaml:"uneven"`
 }
 
 // server is one emulated model server.
@@ -52,6 +53,9 @@
 	engine *Engine
 	clock  *clock
 	id     string
+	// speed is that of its data centre in multiples of the usual.
+	speed float64
+	seed  uint64 // of its pace
 
 	mu    sync.Mutex // guards the fields below
 	stage directory.Stage
@@ -69,8 +73,15 @@
 	preempted bool
 }
 
-func newServer(e *Engine, c *clock, id string, stage directory.Stage) *server {
-	return &server{engine: e, clock: c, id: id, stage: stage, changed: make(chan struct{})}
+func newServer(e *Engine, c *clock, i int, id string, stage directory.Stage, seed uint64) *server {
+	s := &server{engine: e, clock: c, id: id, stage: stage, changed: make(chan struct{}), speed: 1, seed: seed}
+	if n := e.Uneven.DataCentres; n > 0 {
+		s.speed = e.Uneven.FastSpeed
+		if i%n == 0 {
+			s.speed = e.Uneven.SlowSpeed
+		}
+	}
+	return s
 }
 
 // usedLocked returns the memory in use in tokens.
@@ -101,7 +112,7 @@
 	if s.freeAt.After(begin) {
 		begin = s.freeAt
 	}
-	s.freeAt = begin.Add(s.engine.PrefillSetup + s.engine.prefillTime(tokens))
+	s.freeAt = s.end(begin, s.engine.PrefillSetup+s.engine.prefillTime(tokens))
 	end := s.freeAt
 	s.mu.Unlock()
 	return true, s.clock.sleepUntil(ctx, end)
@@ -123,7 +134,7 @@
 	return r
 }
 
-func (s *server) end(r *run) {
+func (s *server) release(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if i := slices.Index(s.runs, r); i >= 0 {
@@ -138,7 +149,7 @@
 	s.mu.Lock()
 	took := time.Duration(tokens) * (s.engine.Step + time.Duration(len(s.runs))*s.engine.StepPerSlot)
 	s.mu.Unlock()
-	if err := s.clock.sleepUntil(ctx, time.Now().Add(took)); err != nil {
+	if err := s.clock.sleepUntil(ctx, s.end(time.Now(), took)); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -199,6 +210,7 @@
 	if err := at.clock.sleepUntil(ctx, time.Now().Add(at.engine.Latency)); err != nil {
 		return nil, nil, errUnanswered(err)
 	}
+	arrived := time.Now()
 	accepted, err := at.prefill(ctx, o.Call.PromptTokens)
 	switch {
 	case err != nil:
@@ -208,7 +220,11 @@
 		return nil, refusal(), nil
 	}
 	created := time.Now()
-	s.fleet.count(func(r *Result) { r.Prefills++; r.PrefilledTokens += o.Call.PromptTokens })
+	s.fleet.count(func(r *Result) {
+		r.Prefills++
+		r.PrefilledTokens += o.Call.PromptTokens
+		r.PrefillTime += created.Sub(arrived)
+	})
 	if err := at.clock.sleepUntil(ctx, created.Add(at.engine.Latency)); err != nil {
 		return nil, nil, errUnanswered(err)
 	}
@@ -237,7 +253,7 @@
 	}
 	body, w := io.Pipe()
 	go func() {
-		defer at.end(r)
+		defer at.release(r)
 		for i := range s.fleet.events(o.Call.ID) {
 			err := at.step(ctx, r, at.engine.EventTokens)
 			if err == nil {
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -49,7 +49,10 @@
 	Prefills        int `json:"prefills"`
 	PrefilledTokens int `json:"prefilled_tokens"`
 	WastedPrefills  int `json:"wasted_prefills"`
-	RefusedPrefills int `json:"refused_prefills"`
+	// PrefillTime is the time from the arrival of prompts at their servers to the end of the
+	// prefill, in all.
+	PrefillTime     time.Duration `json:"prefill_time"`
+	RefusedPrefills int           `json:"refused_prefills"`
 	// Decodes are the offers to decode servers, of which RefusedDecodes were refused.
 	Decodes        int `json:"decodes"`
 	RefusedDecodes int `json:"refused_decodes"`
@@ -73,6 +76,8 @@
 	result  Result
 	lengths map[string]int // of answers in events, by request ID
 	stages  map[string]directory.Stage
+	// centres are the data centres of the servers.
+	centres map[string]string
 }
 
 const (
@@ -89,15 +94,15 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	f := &Fleet{options: o, lengths: map[string]int{}, stages: map[string]directory.Stage{}}
+	f := &Fleet{options: o, lengths: map[string]int{}, stages: map[string]directory.Stage{}, centres: map[string]string{}}
 	f.servers = &servers{fleet: f, byID: map[string]*server{}}
 	for i := range o.Engine.Servers {
 		id, stage := fmt.Sprintf("server-%03d", i), directory.Decode
 		if i < o.Engine.PrefillServers {
 			stage = directory.Prefill
 		}
-		f.servers.byID[id] = newServer(&f.options.Engine, &f.clock, id, stage)
-		f.stages[id] = stage
+		f.servers.byID[id] = newServer(&f.options.Engine, &f.clock, i, id, stage, o.Seed)
+		f.stages[id], f.centres[id] = stage, o.Engine.Uneven.centreOf(i)
 	}
 	return f
 }
@@ -144,11 +149,16 @@
 	f.mu.Unlock()
 	x := loadexchange.New(n.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, f.options.Logger)
 	b := f.options.Budget
-	r := router.New(dir, f.servers, router.Options{
-		DataCentre: dataCentre, MaxQueued: maxQueued, Peers: x,
+	u := &f.options.Engine.Uneven
+	reached := &entryServers{servers: f.servers}
+	r := router.New(dir, reached, router.Options{
+		DataCentre: u.centreOf(i), MaxQueued: maxQueued, Peers: x,
 		Budget: router.BudgetOptions{Window: b.Window, Ratio: b.Ratio, Slack: b.Slack},
 	}, f.options.Logger)
-	x.SetHandler(r)
+	reached.router = r
+	if x.SetHandler(r); u.Alone {
+		x.SetHandler(aloneHandler{r})
+	}
 	f.routers = append(f.routers, r)
 	for id, stage := range f.stages {
 		dir.Put(f.registration(id, stage))
@@ -171,7 +181,7 @@
 }
 
 func (f *Fleet) registration(id string, stage directory.Stage) *directory.Server {
-	return &directory.Server{ID: id, Service: service, Addr: id, DataCentre: dataCentre, Slots: f.options.Engine.Slots, Stage: stage}
+	return &directory.Server{ID: id, Service: service, Addr: id, DataCentre: f.centres[id], Slots: f.options.Engine.Slots, Stage: stage}
 }
 
 // register announces the stage of a server to all entries.
