--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -25,7 +25,7 @@
 // member is one exchange with the last state that its callbacks received.
 type member struct {
 	*Exchange
-	ignored
+	speedRecorder
 	mu          sync.Mutex
 	calls       map[string]int
 	stageChange map[string]time.Time
--- a/internal/loadexchange/servers_test.go
+++ b/internal/loadexchange/servers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,15 +20,25 @@
 // speedRecorder records the observations of peers and has some of its own.
 type speedRecorder struct {
 	ignored
-	own map[string]ServerSpeeds
-	got map[string][]ServerSpeeds
+	speedMu sync.Mutex // guards the fields below
+	own     map[string]ServerSpeeds
+	got     map[string][]ServerSpeeds
 }
 
+// SetRemoteServerSpeeds implements Handler.
 func (r *speedRecorder) SetRemoteServerSpeeds(server string, others []ServerSpeeds) {
+	r.speedMu.Lock()
+	defer r.speedMu.Unlock()
+	if r.got == nil {
+		r.got = map[string][]ServerSpeeds{}
+	}
 	r.got[server] = others
 }
 
+// ServerSpeeds implements Handler.
 func (r *speedRecorder) ServerSpeeds(names []string) map[string]ServerSpeeds {
+	r.speedMu.Lock()
+	defer r.speedMu.Unlock()
 	out := maps.Clone(r.own)
 	if len(names) > 0 {
 		maps.DeleteFunc(out, func(name string, _ ServerSpeeds) bool { return !slices.Contains(names, name) })
@@ -35,6 +46,19 @@
 	return out
 }
 
+func (r *speedRecorder) observe(own map[string]ServerSpeeds) {
+	r.speedMu.Lock()
+	defer r.speedMu.Unlock()
+	r.own = own
+}
+
+// received returns what was last received of a server, and the number of servers.
+func (r *speedRecorder) received(server string) ([]ServerSpeeds, int) {
+	r.speedMu.Lock()
+	defer r.speedMu.Unlock()
+	return r.got[server], len(r.got)
+}
+
 func observed() predict.ServerSums {
 	o := predict.NewServers().Add("dc")
 	for range 40 {
@@ -67,7 +91,7 @@
 	x := New(conn, Options{Self: "10.0.0.1:1"}, log.NewNopLogger())
 	x.SetHandler(&speedRecorder{own: own})
 	x.sendServerSpeeds(nil, map[string]bool{"10.0.0.2:1": true})
-	receiver := &speedRecorder{got: map[string][]ServerSpeeds{}}
+	receiver := &speedRecorder{}
 	y := New(nil, Options{Self: "10.0.0.2:1"}, log.NewNopLogger())
 	y.SetHandler(receiver)
 	total := 0
@@ -96,20 +120,21 @@
 func TestSpeedsOfServersAreSharedAtOnce(t *testing.T) {
 	run(t, func(t *testing.T, _ *network, m [3]*member) {
 		is := is.New(t)
-		receiver := &speedRecorder{got: map[string][]ServerSpeeds{}}
-		m[1].SetHandler(receiver)
-		m[0].SetHandler(&speedRecorder{own: map[string]ServerSpeeds{"s": {Started: 7, Sums: observed()}, "t": {Started: 8}}})
+		m[0].observe(map[string]ServerSpeeds{"s": {Started: 7, Sums: observed()}, "t": {Started: 8}})
 		m[0].ShareServerSpeeds("s")
 		time.Sleep(10 * batchDelay)
-		is.Equal(len(receiver.got), 1)
-		is.Equal(receiver.got["s"][0].Started, int64(7))
-		m[0].SetHandler(ignored{}) // observes nothing more
-		m[2].SetHandler(&speedRecorder{own: map[string]ServerSpeeds{"s": {Started: 9, Sums: observed()}}})
+		got, servers := m[1].received("s")
+		is.Equal(servers, 1)
+		is.Equal(got[0].Started, int64(7))
+		m[0].observe(nil)
+		m[2].observe(map[string]ServerSpeeds{"s": {Started: 9, Sums: observed()}})
 		time.Sleep(completeEvery * fullInterval)
-		is.Equal(len(receiver.got["s"]), 2)
+		got, _ = m[1].received("s")
+		is.Equal(len(got), 2)
 		time.Sleep(serverSpeedsTTL + completeEvery*fullInterval)
-		is.Equal(len(receiver.got["s"]), 1)
-		is.Equal(receiver.got["s"][0].Started, int64(9))
+		got, _ = m[1].received("s")
+		is.Equal(len(got), 1)
+		is.Equal(got[0].Started, int64(9))
 	})
 }
 
