--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -92,6 +92,11 @@
 	SetRemoteWaiting(pool string, waiting []Waiting)
 	// SetRemoteSpeeds is called with what the peers have observed of the speeds of a service.
 	SetRemoteSpeeds(service string, others []predict.SpeedSums)
+	// SetRemoteServerSpeeds is called with what the peers have observed of the speed of a
+	// server, and ServerSpeeds returns what this entry has observed of some servers, or of all
+	// if none is named.
+	SetRemoteServerSpeeds(server string, others []ServerSpeeds)
+	ServerSpeeds(servers []string) map[string]ServerSpeeds
 	// SetRemoteOrigins is called with streams that a version of software began.
 	SetRemoteOrigins(software string, streams []origin.Key)
 	// Origin returns the software that began a stream, if this entry has it recorded.
@@ -140,6 +145,13 @@
 	dirtyQuotas bool
 	// lastSent is the time of the last message to all live peers.
 	lastSent time.Time
+	// dirtyServers are the servers for which this entry's observations of the speed are to be
+	// sent at once.
+	dirtyServers map[string]bool
+	// lastServer is the last server of the last message of this entry's observations, and
+	// heardServers are those of which peers have sent some that were not passed on yet.
+	lastServer   string
+	heardServers map[string]bool
 	// remotePools are the pools for which a peer has ever reported waiting requests.
 	remotePools map[string]bool
 	// registry is the newest state of the registry that this entry has read.
@@ -175,6 +187,7 @@
 		seeds: o.Seeds, localUse: map[string]Usage{}, dirty: map[string]bool{}, peers: map[string]*peer{},
 		remotePools: map[string]bool{}, waits: map[string][]Waiting{}, dirtyWaits: map[string]bool{}, newPeers: map[string]bool{}, originMessages: map[string]*message{},
 		speeds: map[string]predict.SpeedSums{}, dirtySpeeds: map[string]bool{}, sentSpeeds: map[string]float64{},
+		dirtyServers: map[string]bool{}, heardServers: map[string]bool{},
 		freshnessAsked: map[uint64]time.Duration{},
 	}
 }
@@ -378,6 +391,7 @@
 			return
 		case <-full.C:
 			x.expire(time.Now())
+			x.notifyHeardServerSpeeds(time.Now())
 			x.sendFull(false)
 			x.sendEvidence(true)
 			full.Reset(x.fullInterval())
@@ -387,6 +401,7 @@
 			time.Sleep(batchDelay)
 			x.sendToNewPeers()
 			x.sendChanges()
+			x.sendChangedServerSpeeds()
 			x.sendOrigins()
 			x.sendEvidence(false)
 		}
@@ -422,6 +437,9 @@
 	x.mu.Unlock()
 	delete(to, x.options.Self)
 	x.sendEach(append(more, m), to)
+	if complete && !leaving {
+		x.sendNextServerSpeeds()
+	}
 }
 
 // sendToNewPeers sends a full message to the peers that were just discovered and may
@@ -443,6 +461,7 @@
 	x.mu.Unlock()
 	x.send(m, to)
 	x.sendQuotasTo(to)
+	x.sendServerSpeeds(nil, to)
 	x.sendAllEvidence(to)
 }
 
@@ -497,12 +516,7 @@
 	x.dirty, x.dirtyWaits, x.dirtySpeeds = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	more := x.addQuotasLocked(m, x.quotaNewsLocked())
 	x.lastSent = now
-	to := map[string]bool{}
-	for addr, p := range x.peers {
-		if p.alive(now, x.timeoutLocked()) {
-			to[addr] = true
-		}
-	}
+	to := x.livePeersLocked(now)
 	x.mu.Unlock()
 	x.sendEach(append(more, m), to)
 }
@@ -624,6 +638,7 @@
 	if len(m.Speeds) > 0 {
 		x.notifySpeeds()
 	}
+	x.applyServerSpeeds(from, m, now)
 	for software, streams := range m.Origins {
 		x.handler.SetRemoteOrigins(software, streams)
 	}
