--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/membudget"
 )
 
 // Call is one request of a caller.
@@ -47,6 +48,9 @@
 	// Resumes is the ID of the call that brought the first event of the stream that the
 	// caller takes up after LastEvent; "" for a new stream.
 	Resumes string
+	// Memory is what the call holds of the process's memory for bodies and answers; nil for
+	// no bound.
+	Memory *membudget.Request
 }
 
 // streamID returns the ID of the call that began the stream: that of the call itself unless
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/bodyread"
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/membudget"
 	"github.com/samphirestream/samphirestream/internal/sleep"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
@@ -40,10 +41,17 @@
 // give one of the same length.
 var errTooLong = errors.New("the response is longer than the router buffers")
 
+// isOwnLimit reports whether an answer was given up for a limit of this process, so that
+// another server's answer would be too and its server did not fail.
+func isOwnLimit(err error) bool {
+	var noMemory *membudget.Refusal
+	return errors.Is(err, errTooLong) || errors.As(err, &noMemory)
+}
+
 // readWhole reads the body of a response.
-func readWhole(r *Reply) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
+func (x *exchange) readWhole(r *Reply) ([]byte, error) {
+	body, err := bodyread.Read(r.Body, r.Length, maxBody, func(n int64) error { return x.call.Memory.Reserve(time.Now(), membudget.Answers, n) })
+	if errors.Is(err, bodyread.ErrTooLong) {
 		err = errTooLong
 	}
 	return body, err
@@ -89,7 +97,7 @@
 			}
 		default:
 			failed = out
-			if errors.Is(out.err, errTooLong) || x.route.Kind != directory.Idempotent || x.attempts >= x.route.Attempts || ctx.Err() != nil || !x.acquireRetry(retryStep) {
+			if isOwnLimit(out.err) || x.route.Kind != directory.Idempotent || x.attempts >= x.route.Attempts || ctx.Err() != nil || !x.acquireRetry(retryStep) {
 				x.finishUnanswered(ctx, failed, nil)
 				return
 			}
@@ -183,13 +191,13 @@
 // from which its service time is derived.
 func (x *exchange) readPlain(ctx context.Context, b *backend, reply *Reply, sent time.Time, callsPerSlot float64) plainOutcome {
 	x.attempts++
-	body, err := readWhole(reply)
+	body, err := x.readWhole(reply)
 	if err == nil && x.cutOff(b, reply, false) {
 		err = errCutOff
 	}
 	valid := err == nil && reply.Proven
 	ok := valid && reply.Status < 300
-	b.health.recordAnswer(!ok && !errors.Is(err, errTooLong), time.Duration(float64(time.Since(sent))/max(1, callsPerSlot)))
+	b.health.recordAnswer(!ok && !isOwnLimit(err), time.Duration(float64(time.Since(sent))/max(1, callsPerSlot)))
 	if valid {
 		x.survived()
 	}
@@ -201,7 +209,7 @@
 		return plainOutcome{answered: true}
 	case err != nil:
 		x.warn("response broken", "server", b.Name(), "status", reply.Status, "err", err)
-		if !errors.Is(err, errTooLong) && ctx.Err() == nil {
+		if !isOwnLimit(err) && ctx.Err() == nil {
 			x.lost(b, 0, false, err)
 		}
 		return plainOutcome{err: err}
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -15,6 +15,9 @@
 	// projectedShare is the fraction of the decode memory that projected use may take.
 	// The rest is for answers that are longer than predicted.
 	projectedShare = 0.95
+	// prefillShare is the fraction of a prefill server's memory that prompts in prefill and in
+	// its queue may take. The rest is for results that decode servers have not fetched yet.
+	prefillShare = 0.8
 	// waitWeight is the fraction of the predicted wait for decode memory that counts
 	// towards the time to first token at admission.
 	waitWeight = 0.6
@@ -30,7 +33,7 @@
 		Speeds:      speeds,
 		MemoryShare: projectedShare,
 		Prefill: &placement.Pipeline{
-			Must:    []placement.Filter{placement.Usable{}},
+			Must:    []placement.Filter{placement.Usable{}, placement.PrefillMemory{MemoryShare: prefillShare}},
 			Prefer:  []placement.Filter{placement.NotRefused{}, placement.NotStalled{}},
 			Scorers: []placement.Scorer{placement.WaitCost{}, placement.PrefillCost{}, placement.DistanceCost{RoundTrips: 1}},
 			Picker:  placement.LowestCost{Tolerance: prefillTolerance},
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -120,7 +120,7 @@
 
 // relayFailure sends the server's own error response to the caller.
 func (x *exchange) relayFailure(reply *Reply) error {
-	body, err := readWhole(reply)
+	body, err := x.readWhole(reply)
 	if err != nil {
 		return streamError(err)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -147,7 +147,7 @@
 		}
 		return nil, &Error{Progress: progress, Timeout: isTimeout(err), Err: err}
 	}
-	if n, err := cn.net.Write(encodeRequest(r)); err != nil {
+	if n, err := cn.write(r); err != nil {
 		progress := Unanswered
 		if n == 0 {
 			progress = NotSent
@@ -167,9 +167,24 @@
 	return errors.As(err, &n) && n.Timeout() || errors.Is(err, context.DeadlineExceeded)
 }
 
-// encodeRequest returns the bytes of a request as they are sent.
-func encodeRequest(r *Request) []byte {
-	out := make([]byte, 0, 512+len(r.Body))
+// maxCopied is the size of a body in bytes up to which it is copied behind the header, to be
+// sent with one write. Larger ones would take their memory twice.
+const maxCopied = 4 << 10
+
+// write sends a request and returns the number of bytes that were sent.
+func (cn *conn) write(r *Request) (int, error) {
+	header := encodeHeader(r)
+	if len(r.Body) <= maxCopied {
+		return cn.net.Write(append(header, r.Body...))
+	}
+	parts := net.Buffers{header, r.Body}
+	n, err := parts.WriteTo(cn.net)
+	return int(n), err
+}
+
+// encodeHeader returns the bytes of a request before its body.
+func encodeHeader(r *Request) []byte {
+	out := make([]byte, 0, 512+min(len(r.Body), maxCopied))
 	out = append(out, r.Method...)
 	out = append(out, ' ')
 	out = append(out, r.Target...)
@@ -189,8 +204,7 @@
 		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
 		out = append(out, "\r\n"...)
 	}
-	out = append(out, "\r\n"...)
-	return append(out, r.Body...)
+	return append(out, "\r\n"...)
 }
 
 // connect returns an idle connection that can be reused, or a new one.
