upstream, platform: a late copy of an answer reaches no other caller

Cause: requests without an ID (the release of a prefill result, orders) took any answer on a reused connection for theirs. A late second copy of an earlier answer left the real one on the connection, and since that names no request, the next caller got it. A request that was sent again with its ID on the same connection could get the copy of its first answer.

A connection is not reused for the ID of its last request.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -83,6 +83,13 @@
 	// Matches, if not nil, reports whether a response answers this request.
 	// Other responses are discarded.
 	Matches func(http.Header) bool
+	// ID, if not "", names the request. A connection whose last request had the same ID is not
+	// reused, since Matches does not tell a late copy of the response to that one apart.
+	ID string
+	// LastUse closes the connection after the response. It is meant for requests whose
+	// responses name no request: a late second copy of one would be taken for the response to
+	// the next request on the connection.
+	LastUse bool
 }
 
 // Options configure a client.
@@ -134,10 +141,11 @@
 // The end of ctx aborts the exchange, also while the body is read. The error is an
 // *Error. The caller closes the body.
 func (c *Client) Send(ctx context.Context, addr string, r *Request) (*http.Response, error) {
-	cn, err := c.connect(ctx, addr, r.AtMostOnce)
+	cn, err := c.connect(ctx, addr, r)
 	if err != nil {
 		return nil, &Error{Progress: NotSent, Timeout: isTimeout(err), Err: err}
 	}
+	cn.lastID = r.ID
 	stop := context.AfterFunc(ctx, cn.interrupt)
 	fail := func(progress Progress, err error) (*http.Response, error) {
 		stop()
@@ -158,7 +166,11 @@
 	if err != nil {
 		return fail(Unanswered, err)
 	}
-	resp.Body = &body{ReadCloser: resp.Body, ctx: ctx, stop: stop, conn: cn, client: c, reuseFor: c.reuseTime(resp)}
+	b := &body{ReadCloser: resp.Body, ctx: ctx, stop: stop, conn: cn, client: c}
+	if !r.LastUse {
+		b.reuseFor = c.reuseTime(resp)
+	}
+	resp.Body = b
 	return resp, nil
 }
 
@@ -208,13 +220,13 @@
 }
 
 // connect returns an idle connection that can be reused, or a new one.
-func (c *Client) connect(ctx context.Context, addr string, once bool) (*conn, error) {
+func (c *Client) connect(ctx context.Context, addr string, r *Request) (*conn, error) {
 	for {
 		cn := c.takeIdle(addr)
 		if cn == nil {
 			break
 		}
-		if cn.reusable(once, c.options.FreshIdle) {
+		if (r.ID == "" || r.ID != cn.lastID) && cn.reusable(r.AtMostOnce, c.options.FreshIdle) {
 			return cn, nil
 		}
 		cn.close()
@@ -321,6 +333,8 @@
 	net  net.Conn
 	addr string
 	r    *bufio.Reader
+	// lastID is the ID of the last request.
+	lastID string
 	// preamble bounds what r reads of the connection before the body of an answer.
 	preamble preambleReader
 	// idleSince is the time at which the connection became idle, and reuseUntil the
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -252,3 +252,26 @@
 		})
 	}
 }
+
+// TestRepeatedRequestGetsNoLateCopy guards against a second copy of the answer to the first
+// attempt of a request that is taken for the answer to the second one.
+func TestRepeatedRequestGetsNoLateCopy(t *testing.T) {
+	is := is.New(t)
+	addr := scriptedServer(t,
+		func(c net.Conn, r *bufio.Reader) {
+			respond(c, r, okOne)
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, okOne)
+			}
+		},
+		func(c net.Conn, r *bufio.Reader) { respond(c, r, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo") })
+	c := testClient()
+	for _, want := range []string{"one", "two"} {
+		resp, err := c.Send(context.Background(), addr, &Request{Method: http.MethodGet, Target: "/x", Host: "h", ID: "r"})
+		is.NoErr(err)
+		b, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(string(b), want)
+	}
+}
