router, engine, platform: answers that broke off are no success in any framing

Cause: an answer that states no length and broke off within a JSON document passed for complete while its server went on. The plain client of agents took every such answer for complete, also if the service had ended with it.

--- a/internal/bodyread/bodyread.go
+++ b/internal/bodyread/bodyread.go
@@ -3,7 +3,11 @@
 package bodyread
 
 import (
+	"encoding/json"
 	"io"
+	"mime"
+	"net/http"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -51,3 +55,11 @@
 		}
 	}
 }
+
+// CutOff reports whether the body of a message that states no length is visibly not whole. It
+// shows only in formats that have an end of their own.
+func CutOff(header http.Header, body []byte) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	isJSON := err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+	return isJSON && header.Get("Content-Encoding") == "" && !json.Valid(body)
+}
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/samphirestream/samphirestream/internal/bodyread"
 	"github.com/samphirestream/samphirestream/internal/protocol"
 )
 
@@ -45,11 +50,11 @@
 
 // Call makes one HTTP call. After an error the call may have run.
 func (p *PlainClient) Call(ctx context.Context, call protocol.HTTPCall) (PlainAnswer, error) {
-	url := p.base + call.Path
+	target := p.base + call.Path
 	if call.Query != "" {
-		url += "?" + call.Query
+		target += "?" + call.Query
 	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
 		return PlainAnswer{}, errors.Trace(err)
 	}
@@ -61,7 +66,31 @@
 		return PlainAnswer{}, errors.Annotate(err, "calling the plain service")
 	}
 	defer resp.Body.Close()
-	return readPlain(resp)
+	out, err := readPlain(resp)
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && call.Method != http.MethodHead
+	if err == nil && unframed && (bodyread.CutOff(resp.Header, out.Body) || !p.reachable(ctx, req.URL)) {
+		return PlainAnswer{}, ErrTruncatedAnswer
+	}
+	return out, err
+}
+
+// ErrTruncatedAnswer reports an answer that states no length and is not whole, or ended with
+// its service: whether the connection was closed after the answer or within it does not show.
+const ErrTruncatedAnswer = errors.ConstError("the plain service's answer broke off")
+
+// reachTimeout bounds the attempt to connect to the service, which is on the same host or
+// near it.
+const reachTimeout = time.Second
+
+// reachable reports whether the service takes connections.
+func (p *PlainClient) reachable(ctx context.Context, at *url.URL) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	c, err := new(net.Dialer).DialContext(ctx, "tcp", net.JoinHostPort(at.Hostname(), cmp.Or(at.Port(), "80")))
+	if err != nil {
+		return false
+	}
+	return c.Close() == nil
 }
 
 func readPlain(resp *http.Response) (PlainAnswer, error) {
--- /dev/null
+++ b/internal/engine/plain_test.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/protocol"
+)
+
+// answering starts a service that gives one answer and closes the connection. If it ends with
+// that, it takes no further connections.
+func answering(t *testing.T, answer string, ends bool) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if ends {
+			_ = ln.Close()
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, answer)
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// TestAnswersThatBrokeOffAreNoSuccess guards against plain answers that broke off halfway and
+// pass for complete, in each framing.
+func TestAnswersThatBrokeOffAreNoSuccess(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer      string
+		ends, whole bool
+	}{
+		"length":                    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, false},
+		"chunked":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, false},
+		"no length, document":       {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"a\":", false, false},
+		"no length, service ended":  {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf", true, false},
+		"no length, whole":          {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"a\":1}", false, true},
+		"whole, service ended":      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true, true},
+		"no length, whole, no type": {"HTTP/1.0 200 OK\r\n\r\nwhole", false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := NewPlainClient(answering(t, tc.answer, tc.ends)).Call(context.Background(), protocol.HTTPCall{Method: http.MethodGet, Path: "/"})
+			is.Equal(err == nil, tc.whole)
+		})
+	}
+}
--- a/internal/outbuffer/outbuffer_test.go
+++ b/internal/outbuffer/outbuffer_test.go
@@ -209,3 +209,29 @@
 	f.Drain(ctx)
 	is.NoErr(ctx.Err())
 }
+
+// TestAbortedAnswersDoNotLookComplete guards against an answer that broke off halfway and, for
+// a caller whose answers end with the connection, looks complete.
+func TestAbortedAnswersDoNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := &http.Server{ConnContext: Context, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		From(r.Context()).Abort()
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = srv.Serve(Wrap(tcp, membudget.New(1<<20), log.NewNopLogger())) }()
+	defer srv.Close()
+	for _, version := range []string{"1.0", "1.1"} {
+		c, err := net.Dial("tcp", tcp.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET / HTTP/"+version+"\r\nHost: h\r\n\r\n")
+		n, err := answerOf(bufio.NewReader(c))
+		is.Equal(n, len("half"))
+		is.True(err != nil)
+	}
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -192,7 +193,7 @@
 func (x *exchange) readPlain(ctx context.Context, b *backend, reply *Reply, sent time.Time, callsPerSlot float64) plainOutcome {
 	x.attempts++
 	body, err := x.readWhole(reply)
-	if err == nil && x.cutOff(b, reply, false) {
+	if err == nil && (reply.Unframed && x.call.Method != http.MethodHead && bodyread.CutOff(reply.Header, body) || x.cutOff(b, reply, false)) {
 		err = errCutOff
 	}
 	valid := err == nil && reply.Proven
