--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -64,7 +65,10 @@
 			if gaps.event(time.Now(), bytes.Count(pending[:whole], eventEnd)) {
 				x.observeStep(b, gaps.median())
 			}
-			if err := x.sendEvents(reply, pending[:whole]); err != nil {
+			watch.sending.Store(true)
+			err := x.sendEvents(reply, pending[:whole])
+			watch.sending.Store(false)
+			if err != nil {
 				x.log("caller gone", "events", x.events, "err", err)
 				return nil
 			}
@@ -220,6 +224,8 @@
 type stallWatch struct {
 	events chan struct{}
 	done   chan struct{}
+	// sending is set while the relay waits for the caller, and so does not read the stream.
+	sending atomic.Bool
 }
 
 // watchStall probes the server when its stream stalls. If the server is unreachable,
@@ -255,6 +261,10 @@
 		case <-w.events:
 			last = time.Now()
 		case <-timer.C:
+			if w.sending.Load() {
+				last = time.Now()
+				break
+			}
 			if err := x.router.reach(context.Background(), b); err != nil {
 				x.suspect(b, fmt.Errorf("a stream stands still: %w", err))
 				if x.mayResume() {
--- a/internal/router/stall_test.go
+++ b/internal/router/stall_test.go
@@ -97,3 +97,44 @@
 		is.Equal(f.arrivals()["prefill p1"]+f.arrivals()["prefill p2"], 1)
 	})
 }
+
+// slowAnswer is to a caller that takes no byte for a while.
+type slowAnswer struct {
+	recordedAnswer
+	pause time.Duration
+}
+
+func (a *slowAnswer) Write(p []byte) error {
+	time.Sleep(a.pause)
+	return a.recordedAnswer.Write(p)
+}
+
+// TestSlowCallersAreNotStalledServers guards against a stream that is resumed elsewhere since
+// its caller holds up the reading of its events.
+func TestSlowCallersAreNotStalledServers(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.servers.setAll(decodeServers, func(ctx context.Context, _ *router.OutgoingCall) (*router.Reply, error) {
+			return reply(200, &contextReader{ctx: ctx, pacedReader: pacedReader{left: 3, gap: gap}}), nil
+		})
+		a := &slowAnswer{pause: 9 * gap}
+		f.Serve(context.Background(), newCall("/resumable/x"), a)
+		is.True(!a.aborted)
+		is.Equal(bytes.Count(a.body.Bytes(), []byte("data:")), 3)
+		is.Equal(len(f.servers.recorded()), 2)
+	})
+}
+
+// contextReader fails once its request is cancelled.
+type contextReader struct {
+	ctx context.Context
+	pacedReader
+}
+
+func (r *contextReader) Read(p []byte) (int, error) {
+	n, err := r.pacedReader.Read(p)
+	if cause := r.ctx.Err(); cause != nil {
+		return 0, &upstream.Error{Progress: upstream.Broken, Err: cause}
+	}
+	return n, err
+}
