entry: an answer that breaks off with a panic does not look complete

Cause: the error of a panic within a started answer was appended to it, and the answer ended as a complete one with status 200.

Change: such an answer is aborted.

--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -94,9 +94,32 @@
 	})
 }
 
-// recoverPanics returns an internal error to the caller if a handler panics.
+// startedWriter records whether a response has started.
+type startedWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *startedWriter) WriteHeader(status int) {
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *startedWriter) Write(p []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController find the methods of the writer below.
+func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// recoverPanics returns an internal error to the caller if a handler panics. A response that
+// has started is aborted, so that it does not look complete.
 func (e *Entry) recoverPanics(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(below http.ResponseWriter, r *http.Request) {
+		w := &startedWriter{ResponseWriter: below}
 		defer func() {
 			v := recover()
 			if v == nil {
@@ -106,6 +129,9 @@
 				panic(v)
 			}
 			_ = level.Error(logging.FromContext(r.Context())).Log("msg", "handler panicked", "panic", v)
+			if w.started {
+				panic(http.ErrAbortHandler)
+			}
 			e.writeError(w, r, apierror.Unknown(apierror.KindInternal, "internal error", "report the request ID to the operators"))
 		}()
 		next.ServeHTTP(w, r)
