--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -83,6 +83,13 @@
 	// Matches, if not nil, reports whether a response answers this request.
 	// Other responses are discarded.
 	Matches func(http.Header) bool
+	// ID, if not "", names the request. A connection whose last request had the same ID is not
+	// reused, since Matches does not tell a late copy of the response to that one apart.
+	ID string
+	// LastUse closes the connection after the response. It is meant for requests whose
+	// responses name no request: a late second copy of one would be taken for the response to
+	// the next request on the connection.
+	LastUse bool
 }
 
 // Options configure a client.
@@ -134,10 +141,11 @@
 // The end of ctx aborts the exchange, also while the body is read. The error is an
 // *Error. The caller closes the body.
 func (c *Client) Send(ctx context.Context, addr string, r *Request) (*http.Response, error) {
-	cn, err := c.connect(ctx, addr, r.AtMostOnce)
+	cn, err := c.connect(ctx, addr, r)
 	if err != nil {
 		return nil, &Error{Progress: NotSent, Timeout: isTimeout(err), Err: err}
 	}
+	cn.lastID = r.ID
 	stop := context.AfterFunc(ctx, cn.interrupt)
 	fail := func(progress Progress, err error) (*http.Response, error) {
 		stop()
@@ -147,7 +155,7 @@
 		}
 		return nil, &Error{Progress: progress, Timeout: isTimeout(err), Err: err}
 	}
-	if n, err := cn.net.Write(encodeRequest(r)); err != nil {
+	if n, err := cn.write(r); err != nil {
 		progress := Unanswered
 		if n == 0 {
 			progress = NotSent
@@ -158,7 +166,11 @@
 	if err != nil {
 		return fail(Unanswered, err)
 	}
-	resp.Body = &body{ReadCloser: resp.Body, ctx: ctx, stop: stop, conn: cn, client: c, reuseFor: c.reuseTime(resp)}
+	b := &body{ReadCloser: resp.Body, ctx: ctx, stop: stop, conn: cn, client: c}
+	if !r.LastUse {
+		b.reuseFor = c.reuseTime(resp)
+	}
+	resp.Body = b
 	return resp, nil
 }
 
@@ -167,9 +179,24 @@
 	return errors.As(err, &n) && n.Timeout() || errors.Is(err, context.DeadlineExceeded)
 }
 
-// encodeRequest returns the bytes of a request as they are sent.
-func encodeRequest(r *Request) []byte {
-	out := make([]byte, 0, 512+len(r.Body))
+// maxCopied is the size of a body in bytes up to which it is copied behind the header, to be
+// sent with one write. Larger ones would take their memory twice.
+const maxCopied = 4 << 10
+
+// write sends a request and returns the number of bytes that were sent.
+func (cn *conn) write(r *Request) (int, error) {
+	header := encodeHeader(r)
+	if len(r.Body) <= maxCopied {
+		return cn.net.Write(append(header, r.Body...))
+	}
+	parts := net.Buffers{header, r.Body}
+	n, err := parts.WriteTo(cn.net)
+	return int(n), err
+}
+
+// encodeHeader returns the bytes of a request before its body.
+func encodeHeader(r *Request) []byte {
+	out := make([]byte, 0, 512+min(len(r.Body), maxCopied))
 	out = append(out, r.Method...)
 	out = append(out, ' ')
 	out = append(out, r.Target...)
@@ -189,18 +216,17 @@
 		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
 		out = append(out, "\r\n"...)
 	}
-	out = append(out, "\r\n"...)
-	return append(out, r.Body...)
+	return append(out, "\r\n"...)
 }
 
 // connect returns an idle connection that can be reused, or a new one.
-func (c *Client) connect(ctx context.Context, addr string, once bool) (*conn, error) {
+func (c *Client) connect(ctx context.Context, addr string, r *Request) (*conn, error) {
 	for {
 		cn := c.takeIdle(addr)
 		if cn == nil {
 			break
 		}
-		if cn.reusable(once, c.options.FreshIdle) {
+		if (r.ID == "" || r.ID != cn.lastID) && cn.reusable(r.AtMostOnce, c.options.FreshIdle) {
 			return cn, nil
 		}
 		cn.close()
@@ -307,6 +333,8 @@
 	net  net.Conn
 	addr string
 	r    *bufio.Reader
+	// lastID is the ID of the last request.
+	lastID string
 	// preamble bounds what r reads of the connection before the body of an answer.
 	preamble preambleReader
 	// idleSince is the time at which the connection became idle, and reuseUntil the
