--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,7 +40,8 @@
 	// bound.
 	DrainTime time.Duration
 	// Peers is nil for a single entry.
-	Peers Peers
+	Peers          Peers
+	QuotaTolerance QuotaTolerance
 	// KeyAge, if not nil, returns the age of what is known of the keys, of which no more than
 	// MaxKeyAge is allowed.
 	KeyAge    func() time.Duration
