quota: the slot of a returned peer is bounded by the level that it reports

A slot accrues while its peer is silent. An entry that hears a silent peer again sends it at once its recent sums and its levels, and the receiver takes the smaller of the slot and the peer's part of its own level.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -143,6 +143,8 @@
 	sentSpeeds  map[string]float64
 	// dirtyQuotas is set if the use of quotas is to be sent before the next full message.
 	dirtyQuotas bool
+	// returned are peers that were silent and have not been sent what they missed of quotas.
+	returned map[string]bool
 	// lastSent is the time of the last message to all live peers.
 	lastSent time.Time
 	// dirtyServers are the servers for which this entry's observations of the speed are to be
@@ -402,6 +404,7 @@
 			x.sendToNewPeers()
 			x.sendChanges()
 			x.sendChangedServerSpeeds()
+			x.sendQuotasToReturned()
 			x.sendOrigins()
 			x.sendEvidence(false)
 		}
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -232,7 +232,7 @@
 	// only.
 	Freshness *freshnessPart `cbor:"18,keyasint,omitempty"`
 	// Quotas are what the sender has used of quotas, and Levels the levels of its buckets; those
-	// only in messages to peers that were just found.
+	// only in messages to peers that were found or silent.
 	Quotas []quota.Use   `cbor:"19,keyasint,omitempty"`
 	Levels *quota.Levels `cbor:"20,keyasint,omitempty"`
 	// Known is the number of entries that the sender has heard of lately; 0 if it does not say.
--- a/internal/loadexchange/quotas.go
+++ b/internal/loadexchange/quotas.go
@@ -90,10 +90,28 @@
 		return
 	}
 	now := time.Now()
-	uses, levels := x.options.Quotas.Since(now), x.options.Quotas.Levels(now)
+	uses, levels := x.options.Quotas.Since(now, true), x.options.Quotas.Levels(now)
 	if len(uses) == 0 && levels == nil {
 		return
 	}
+	x.sendUses(uses, levels, to)
+}
+
+// sendQuotasToReturned sends peers that were silent for less than peerTimeout what this entry used
+// meanwhile, and its levels.
+func (x *Exchange) sendQuotasToReturned() {
+	x.mu.Lock()
+	to := x.returned
+	x.returned = nil
+	x.mu.Unlock()
+	if len(to) == 0 {
+		return
+	}
+	now := time.Now()
+	x.sendUses(x.options.Quotas.Since(now, false), x.options.Quotas.Levels(now), to)
+}
+
+func (x *Exchange) sendUses(uses []quota.Use, levels *quota.Levels, to map[string]bool) {
 	x.mu.Lock()
 	x.seq++
 	m := &message{Incarnation: x.incarnation, Seq: x.seq, Levels: levels}
@@ -120,8 +138,16 @@
 			q.Mention(now, addr)
 		}
 	}
-	q.Receive(now, from, m.Incarnation, m.Seq, m.Quotas, m.Known, m.Leaving)
+	if q.Receive(now, from, m.Incarnation, m.Seq, m.Quotas, m.Known, m.Leaving) && q.Limited() {
+		x.mu.Lock()
+		if x.returned == nil {
+			x.returned = map[string]bool{}
+		}
+		x.returned[from] = true
+		x.requestFlush()
+		x.mu.Unlock()
+	}
 	if m.Levels != nil {
-		q.Adopt(now, m.Levels)
+		q.Adopt(now, from, m.Levels)
 	}
 }
--- a/internal/quota/table.go
+++ b/internal/quota/table.go
@@ -31,7 +31,8 @@
 	Sum, Added int64
 }
 
-// Levels are the levels of all buckets, for an entry that starts.
+// Levels are the levels of all buckets relative to what they hold at most, for entries that start
+// or were silent.
 type Levels struct {
 	_ struct{} `cbor:",toarray"`
 	// Config is the version of the configuration whose organisations, ordered by name, they
@@ -315,10 +316,15 @@
 
 // Receive records a message of a peer, which knows a number of entries (0 if it does not say),
 // and charges the use that it reports. Sums older than
-// those known are ignored, so that lost and reordered messages do no harm.
-func (t *Table) Receive(now time.Time, peer string, incarnation int64, seq uint64, uses []Use, known int, leaving bool) {
+// those known are ignored, so that lost and reordered messages do no harm. It reports whether the
+// peer was silent until now; it should then be sent what it may have missed before its slot is
+// released.
+func (t *Table) Receive(now time.Time, peer string, incarnation int64, seq uint64, uses []Use, known int, leaving bool) (wasSilent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if p := t.contacts.peers[peer]; p != nil {
+		wasSilent = now.Sub(p.last) > t.contacts.silence()
+	}
 	p := t.contacts.hear(now, peer, incarnation, known, leaving)
 	r, ok := t.remotes[peer]
 	if !ok || r.incarnation != incarnation {
@@ -355,6 +361,7 @@
 			p.reserve.set(b, p.reserve.get(b, t.fleet)-float64(added))
 		}
 	}
+	return wasSilent
 }
 
 // News returns the use that was not reported yet, for a message to all peers.
@@ -368,10 +375,14 @@
 	return t.report(now, func(b *bucket) bool { return !b.changed.IsZero() && now.Sub(b.changed) <= repeatTime }, true)
 }
 
-// Since returns the use that changed while peers may have been silent, for those that were
-// just found.
-func (t *Table) Since(now time.Time) []Use {
-	return t.report(now, func(b *bucket) bool { return !b.changed.IsZero() && now.Sub(b.changed) <= knownTime }, false)
+// Since returns the use that changed while some peers were silent, for these peers only: found is
+// set for those that were just found.
+func (t *Table) Since(now time.Time, found bool) []Use {
+	period := repeatTime
+	if found {
+		period = knownTime
+	}
+	return t.report(now, func(b *bucket) bool { return !b.changed.IsZero() && now.Sub(b.changed) <= period }, false)
 }
 
 // report returns the use that was not reported yet or is to be repeated. toAll is set if all
@@ -404,7 +415,7 @@
 		b.refill(now, t.fleet)
 		steps := 0.0
 		if b.limit.Burst > 0 {
-			steps = math.Floor(levelSteps * min(t.total(b), b.limit.Burst) / b.limit.Burst)
+			steps = math.Floor(levelSteps * min(1, b.level/(t.fleet.share()*b.limit.Burst)))
 		}
 		out.Steps[i] = byte(int8(max(math.MinInt8, steps)))
 	}
@@ -412,18 +423,23 @@
 }
 
 // Adopt takes the levels of a peer, once. An entry that has decided on requests for a while
-// without a peer adopts only lower ones.
-func (t *Table) Adopt(now time.Time, l *Levels) {
+// without a peer adopts only lower ones. Later the levels bound the slot of the peer: what its
+// group used just before it was in contact again is not available twice.
+func (t *Table) Adopt(now time.Time, peer string, l *Levels) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.adopted || l.Config != t.version || len(l.Steps) != len(t.order) {
+	if l.Config != t.version || len(l.Steps) != len(t.order) {
+		return
+	}
+	if t.adopted || now.Sub(t.contacts.started) > knownTime {
+		t.boundSlot(now, t.contacts.peers[peer], l)
 		return
 	}
 	t.adopted = true
 	early := now.Sub(t.contacts.started) < 2*discoveryTime
 	for i, b := range t.order {
 		b.refill(now, t.fleet)
-		level := float64(int8(l.Steps[i])) / levelSteps * b.limit.Burst
+		level := l.tokens(i, b)
 		if !early && level >= t.total(b) {
 			continue
 		}
@@ -438,6 +454,22 @@
 	}
 }
 
+// tokens returns the level of a bucket for the whole fleet.
+func (l *Levels) tokens(i int, b *bucket) float64 {
+	return float64(int8(l.Steps[i])) / levelSteps * b.limit.Burst
+}
+
+// boundSlot bounds the slot of a peer, if it has one, by its levels.
+func (t *Table) boundSlot(now time.Time, p *contact, l *Levels) {
+	if p == nil || p.reserve == nil {
+		return
+	}
+	for i, b := range t.order {
+		b.refill(now, t.fleet)
+		p.reserve.set(b, min(p.reserve.get(b, t.fleet), l.tokens(i, b)/float64(t.fleet.known)))
+	}
+}
+
 // Row is the state of one organisation, for operators.
 type Row struct {
 	Organisation string
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -13,12 +13,6 @@
 	// quotaRetrySpread is the fraction by which the advised delay of requests over the quota is
 	// lengthened at random, so that those that were refused together do not return together.
 	quotaRetrySpread = 0.25
-	// overageShare and slackShare are the fractions of the tolerance of a quota that the entries
-	// grant. A request that is refused below its quota is a loss for its caller, while one that
-	// is admitted within the tolerance costs nobody anything; the rest is for what entries
-	// that do not hear each other use at the same time.
-	overageShare = 0.6
-	slackShare   = 0.4
 	// minQuotaRetry is the least advised delay over the quota.
 	minQuotaRetry = 20 * time.Millisecond
 )
@@ -43,24 +37,12 @@
 	}
 	limits := make([]quota.Limit, len(c.Organisations))
 	for i, o := range c.Organisations {
-		limits[i] = r.options.QuotaTolerance.grant(o)
+		limits[i] = r.options.QuotaTolerance.Grant(quota.Limit{Name: o.Name, Rate: o.Quota.Rate, Burst: o.Quota.Burst})
 	}
 	r.quotas.Configure(time.Now(), c.Version, limits) // ignores all but the newest version
 	r.quotaConfig.Store(c)
 }
 
-// QuotaTolerance is by how much organisations may exceed their quotas in some window.
-type QuotaTolerance struct {
-	// Overage is a fraction of the quota, and Slack a number of units beside it.
-	Overage, Slack float64
-}
-
-// grant returns the limit that the entries enforce for an organisation.
-func (t QuotaTolerance) grant(o *directory.Organisation) quota.Limit {
-	factor := 1 + overageShare*t.Overage
-	return quota.Limit{Name: o.Name, Rate: factor * o.Quota.Rate, Burst: factor*o.Quota.Burst + slackShare*t.Slack}
-}
-
 // chargeQuota charges the call to the quota of its organisation. It returns a refusal if the
 // quota is used up.
 func (x *exchange) chargeQuota() *apierror.Error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,8 +40,9 @@
 	// bound.
 	DrainTime time.Duration
 	// Peers is nil for a single entry.
-	Peers          Peers
-	QuotaTolerance QuotaTolerance
+	Peers Peers
+	// QuotaTolerance is by how much quotas may be exceeded.
+	QuotaTolerance quota.Tolerance
 	// KeyAge, if not nil, returns the age of what is known of the keys, of which no more than
 	// MaxKeyAge is allowed.
 	KeyAge    func() time.Duration
