--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -101,6 +101,9 @@
 	mu                                         sync.Mutex
 	asked, refused, onTime, noMemory, overruns int
 	refusedLate                                int
+	// unpromised counts the jobs that were assigned to a decode server that was down or whose
+	// memory was not projected to suffice from the end of the prefill on.
+	unpromised int
 }
 
 func newSimFleet(engines int, announce bool, seed uint64) *simFleet {
@@ -217,6 +220,11 @@
 		f.add(&f.refusedLate)
 		return
 	}
+	e.d.Update(a.Decode, func(_ time.Duration, v *placement.Server) {
+		if v.Unavailable || a.PeakMemory > memoryShare*memory || a.TimeToPrefillEnd <= 0 {
+			f.add(&f.unpromised)
+		}
+	})
 	at := 0
 	for i, s := range e.decodes {
 		if s == a.Decode {
@@ -287,6 +295,35 @@
 	}
 }
 
+// TestPrefillsHaveDecodeRoomWhileServersFail sends 1.5 times the capacity while servers go down
+// and come back, and guards against prefills whose decode has no promised room.
+func TestPrefillsHaveDecodeRoomWhileServersFail(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newSimFleet(6, true, seed)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				for i := 0; ctx.Err() == nil; i++ {
+					for _, down := range []bool{true, false} {
+						for _, e := range f.entries {
+							e.d.Update(e.decodes[i%6], func(_ time.Duration, v *placement.Server) { v.Unavailable = down })
+							e.d.Pump()
+						}
+						time.Sleep(700 * time.Millisecond)
+					}
+				}
+			}()
+			f.generate(1.5*6*capacity, 20*time.Second, seed)
+			cancel()
+			time.Sleep(2 * time.Second)
+			t.Logf("seed %d: asked %d, refused %d, on time %d, no memory %d, unpromised %d", seed, f.asked, f.refused, f.onTime, f.noMemory, f.unpromised)
+			is.Equal(f.unpromised, 0)
+			is.True(f.noMemory*20 <= f.asked-f.refused) // at most 5% of prefills are wasted
+		})
+	}
+}
+
 // TestFreedMemoryIsAssignedOnce has requests wait at two entries for one engine. Both
 // entries observe at the same time that its memory is free; only the request that
 // arrived first may be assigned. Without announcements, both are.
