router: calls of plain services are spread by the age of what is known

Below half of a server's slots the entries report their calls to each other once a second. All entries chose the server that seemed emptiest, so that it filled up while others idled. leastLoaded now chooses by placement.Leveler: the age of the peers' last full messages, at most 4 service times, and the rate of the other entries give the calls that they sent meanwhile. Where each call is reported at once the age is that of such a report; a single entry chooses the server of the least cost as before, with ties at random.

The log line of an answered plain call has known_ms and unseen; load_spread is a gauge.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -334,6 +334,33 @@
 	return h.Sum64()
 }
 
+// ReportDelay is the usual age of a use that is sent at once when it is received: it waits for
+// others for batchDelay, and then takes the latency between entries, which is about as long.
+const ReportDelay = 2 * batchDelay
+
+// UsageAge returns the mean age of what is known of the uses of the peers that are sent with
+// full messages only; 0 without peers.
+func (x *Exchange) UsageAge() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now, sum, peers := time.Now(), time.Duration(0), time.Duration(0)
+	for _, p := range x.peers {
+		if !p.alive(now, x.timeoutLocked()) {
+			continue
+		}
+		age := x.timeoutLocked() // of a peer of which only changes were received yet
+		if !p.lastFull.IsZero() {
+			age = min(age, now.Sub(p.lastFull))
+		}
+		sum += age
+		peers++
+	}
+	if peers == 0 {
+		return 0
+	}
+	return sum/peers + ReportDelay
+}
+
 // Peers returns the sorted addresses of the peers that are alive.
 func (x *Exchange) Peers() []string {
 	x.mu.Lock()
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -446,3 +446,26 @@
 	is.True(!u.empty())
 	is.True(u.withAges(sent.Add(adviceTTL)).empty())
 }
+
+// TestUsageAgeIsThatOfFullMessages guards against an age that changes reset: they say nothing
+// of the uses that are not published at once.
+func TestUsageAgeIsThatOfFullMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x := New(nil, Options{Self: "self"}, log.NewNopLogger())
+		is.Equal(x.UsageAge(), time.Duration(0)) // without peers
+		for seq, addr := range []string{"a", "b"} {
+			p := newPeer(1)
+			p.apply(&message{Incarnation: 1, Seq: uint64(seq + 1), Full: true}, time.Now(), peerTimeout)
+			x.peers[addr] = p
+			time.Sleep(400 * time.Millisecond)
+		}
+		x.peers["a"].apply(&message{Incarnation: 1, Seq: 9, Uses: map[string]Usage{"s": {Calls: 1}}}, time.Now(), peerTimeout)
+		is.Equal(x.UsageAge(), 600*time.Millisecond+ReportDelay) // the mean of 800 and 400
+		x.peers["c"] = newPeer(1)
+		x.peers["c"].lastReceived = time.Now() // no full message was received yet
+		is.Equal(x.UsageAge(), (1200*time.Millisecond+peerTimeout)/3+ReportDelay)
+		time.Sleep(2 * peerTimeout)
+		is.Equal(x.UsageAge(), time.Duration(0)) // no peer is alive
+	})
+}
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -219,6 +219,7 @@
 	seq          uint64
 	lastReceived time.Time
 	lastActive   time.Time // when a message last reported a use
+	lastFull     time.Time // when a full message was last received; zero if none was
 	uses         map[string]Usage
 	// waits are the waiting requests, by pool, and waitSeqs the sequence numbers of the
 	// messages that last set them.
@@ -295,6 +296,7 @@
 	if !m.Full {
 		return changed
 	}
+	p.lastFull = now
 	for s := range p.uses {
 		if _, listed := m.Uses[s]; !listed && p.seqs[s] < m.Seq {
 			delete(p.uses, s)
--- a/internal/placement/leveler.go
+++ b/internal/placement/leveler.go
@@ -105,16 +105,3 @@
 	}
 	return best
 }
-
-// Remaining returns the fraction of the requests that were in progress some time ago which
-// still are, if they last some time on average. Both times are in the same unit; an age of
-// 0 is fresh knowledge.
-func Remaining(age, lasting float64) float64 {
-	if age <= 0 {
-		return 1
-	}
-	if lasting <= 0 {
-		return 0
-	}
-	return math.Exp(-age / lasting)
-}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -37,6 +37,8 @@
 	deadline time.Time
 	// tried names the servers that are not asked again while there are others.
 	tried map[string]bool
+	// levelChoice is what the last choice of a plain server was based on.
+	levelChoice levelChoice
 	// attempts counts the servers that may have run the call.
 	attempts int
 	// started is set once a part of the answer was sent to the caller.
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -39,6 +39,8 @@
 	arrived func(o *router.OutgoingCall)
 	// slowProbe makes Probe block until its context ends.
 	slowProbe bool
+	// discard leaves calls unrecorded.
+	discard bool
 }
 
 func newFakeServers() *fakeServers {
@@ -98,7 +100,9 @@
 
 // arrive records a call or a prefill that reaches a server.
 func (f *fakeServers) arrive(o *router.OutgoingCall, what string) {
-	f.record(what)
+	if !f.discard {
+		f.record(what)
+	}
 	if f.arrived != nil {
 		f.arrived(o)
 	}
@@ -109,7 +113,9 @@
 func (f *fakeServers) Call(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
 	f.mu.Lock()
 	unreachable, b := f.unreachable[o.Server.ID], f.on[o.Server.ID]
-	f.timesLeft = append(f.timesLeft, o.TimeLeft)
+	if !f.discard {
+		f.timesLeft = append(f.timesLeft, o.TimeLeft)
+	}
 	f.mu.Unlock()
 	if unreachable {
 		return nil, errRefusedConnection
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -31,6 +31,9 @@
 	// last survived requests with some causes.
 	ReportEnd(e blame.End)
 	ReportSurvived(causes map[blame.Key]time.Time)
+	// UsageAge returns the mean age of what is known of uses that the other entries do not
+	// publish at once; 0 without other entries.
+	UsageAge() time.Duration
 	// Entries returns the number of entries, this one included.
 	Entries() int
 	// Rank returns the position of this entry among all in an order that depends on key,
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -25,6 +25,9 @@
 	mu     sync.Mutex
 	usages map[string]loadexchange.Usage
 	urgent int // urgent publications
+
+	age     time.Duration // of what is known of other entries
+	entries int           // 0 for one
 }
 
 func (p *recordingPeers) PublishUsage(server string, u loadexchange.Usage, urgent bool) {
@@ -54,7 +57,8 @@
 func (*recordingPeers) AskOrigin(origin.Key) bool                     { return false }
 func (*recordingPeers) ReportEnd(blame.End)                           {}
 func (*recordingPeers) ReportSurvived(map[blame.Key]time.Time)        {}
-func (*recordingPeers) Entries() int                                  { return 1 }
+func (p *recordingPeers) UsageAge() time.Duration                     { return p.age }
+func (p *recordingPeers) Entries() int                                { return max(1, p.entries) }
 func (*recordingPeers) Rank(string) (rank, entries int)               { return 0, 1 }
 
 // withPeers runs a test with a fleet that publishes to recording peers.
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -196,7 +196,7 @@
 	switch {
 	case ok:
 		x.observe(stagePlain, time.Since(x.call.Arrived))
-		x.log("answered", "server", b.Name(), "status", reply.Status, "attempts", x.attempts)
+		x.log("answered", append([]any{"server", b.Name(), "status", reply.Status, "attempts", x.attempts}, x.levelChoice.fields()...)...)
 		x.sendWhole(reply, body)
 		return plainOutcome{answered: true}
 	case err != nil:
@@ -239,19 +239,12 @@
 	return nil
 }
 
-// leastLoaded returns the server with the lowest cost that is not in tried; nil if
-// there is none.
+// leastLoaded returns a server that is not in tried, of the least cost as far as that is known;
+// nil if there is none.
 func (x *exchange) leastLoaded(tried map[string]bool) *backend {
-	var best *backend
-	minCost := 0.0
-	now := time.Now()
-	for _, b := range x.router.fleet.plain(x.service, tried) {
-		cost := x.router.plainCost(b, now)
-		if best == nil || cost < minCost {
-			best, minCost = b, cost
-		}
-	}
-	return best
+	var b *backend
+	b, x.levelChoice = x.router.levels.choose(x.router, x.service, x.router.fleet.plain(x.service, tried), time.Now())
+	return b
 }
 
 // overloaded reports whether a call to a server would probably miss the target. When
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -176,6 +176,14 @@
 		}
 		return worst
 	})
+	set.Gauge("load_spread", func() any { return r.loadSpread() })
+	set.Gauge("load_spread_worst", func() any {
+		worst := 0.0
+		for _, spread := range r.loadSpread() {
+			worst = max(worst, spread)
+		}
+		return worst
+	})
 	set.Gauge("blames", func() any { return len(r.blame.Blames(time.Now())) })
 	set.Gauge("waiting", func() any { return r.dispatch.QueueLength() })
 	for name, counts := range map[string]func(ServerSnapshot) int{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,6 +78,9 @@
 	// trials is held by the request under suspicion that runs.
 	trials *semaphore.Weighted
 
+	// levels chooses servers of plain services.
+	levels levels
+
 	// lastFence is the fence of the last order.
 	lastFence atomic.Int64
 
