--- a/internal/ctl/experiment.go
+++ b/internal/ctl/experiment.go
@@ -69,10 +69,10 @@
 		return p.writeJSON(outcomes)
 	}
 	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "load\tper second\trequests\ton time\tbound\tlate\trefused\tfailed\tprefills\twasted\tdecodes\trefused\torders\tslowdown\t")
+	_, _ = fmt.Fprintln(w, "load\tper second\trequests\ton time\tbound\tlate\trefused\tfailed\tprefills\twasted\tdecodes\trefused\torders\tspread p\tspread d\tslowdown\t")
 	for _, o := range outcomes {
-		_, _ = fmt.Fprintf(w, "%.2f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t\n",
-			o.Load, o.PerSecond, o.Requests, o.OnTime, o.Bound, o.Late, o.Refused, o.Failed, o.Prefills, o.WastedPrefills, o.Decodes, o.RefusedDecodes, o.Orders, o.Slowdown)
+		_, _ = fmt.Fprintf(w, "%.2f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n",
+			o.Load, o.PerSecond, o.Requests, o.OnTime, o.Bound, o.Late, o.Refused, o.Failed, o.Prefills, o.WastedPrefills, o.Decodes, o.RefusedDecodes, o.Orders, o.PrefillSpread, o.DecodeSpread, o.Slowdown)
 	}
 	return errors.Trace(w.Flush())
 }
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -55,6 +55,10 @@
 	RefusedDecodes int `json:"refused_decodes"`
 	// Orders are the changes of stage.
 	Orders int `json:"orders"`
+	// PrefillSpread and DecodeSpread tell how evenly the servers were loaded: the 99th
+	// percentile over the mean of their queues of prefills, in time, and of their runs.
+	PrefillSpread float64 `json:"prefill_spread"`
+	DecodeSpread  float64 `json:"decode_spread"`
 	// Slowdown is the time that the servers' work took relative to the time that Engine
 	// describes: 1, and more on a machine that can not keep up.
 	Slowdown float64 `json:"slowdown"`
@@ -112,6 +116,8 @@
 		f.start(ctx, network, i, &background)
 	}
 	background.Go(func() { f.routers[0].Balance(ctx, "entry-0") })
+	sampled := &samples{}
+	background.Go(func() { f.sample(ctx, sampled) })
 	var callers sync.WaitGroup
 	began := time.Now()
 	f.mu.Lock()
@@ -130,6 +136,7 @@
 	background.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.result.PrefillSpread, f.result.DecodeSpread = spread(sampled.prefill), spread(sampled.decode)
 	f.result.Slowdown = f.clock.slowdown()
 	return f.result
 }
--- a/internal/router/level.go
+++ b/internal/router/level.go
@@ -65,7 +65,7 @@
 	if r.options.Peers != nil {
 		age, others = r.options.Peers.UsageAge(), r.entries()-1
 	}
-	mean := meanServiceTime(list)
+	mean := r.meanServiceTime(list)
 
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -99,7 +99,7 @@
 // mean service time of the servers, and perServer the number of calls a second that the other
 // entries send to each.
 func (r *Router) levelServer(b *backend, now time.Time, known, mean time.Duration, perServer float64) placement.LevelServer {
-	took, speed := b.health.serviceTime(), 1.0
+	took, speed := r.serviceTime(b), 1.0
 	if took > 0 {
 		speed = min(max(float64(mean)/float64(took), minSpeed), maxSpeed)
 	} else {
@@ -122,12 +122,16 @@
 	return age
 }
 
+// serviceTime returns the mean time that a plain server works on a call; 0 before the first
+// answer.
+func (*Router) serviceTime(b *backend) time.Duration { return b.health.serviceTime() }
+
 // meanServiceTime returns the mean service time of the servers of which it is known; 0 if
 // there are none.
-func meanServiceTime(list []*backend) time.Duration {
+func (r *Router) meanServiceTime(list []*backend) time.Duration {
 	sum, count := time.Duration(0), time.Duration(0)
 	for _, b := range list {
-		if took := b.health.serviceTime(); took > 0 {
+		if took := r.serviceTime(b); took > 0 {
 			sum += took
 			count++
 		}
