--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -42,6 +42,8 @@
 	deadline time.Time
 	// tried names the servers that are not asked again while there are others.
 	tried map[string]bool
+	// levelChoice is what the last choice of a plain server was based on.
+	levelChoice levelChoice
 	// attempts counts the servers that may have run the call.
 	attempts int
 	// runs counts the runs of a generation that have ended, and prepaid is set while the
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -38,6 +38,9 @@
 	Alive() int
 	// PublishQuotas publishes what was charged to quotas and not published yet, at once.
 	PublishQuotas()
+	// UsageAge returns the mean age of what is known of uses that the other entries do not
+	// publish at once; 0 without other entries.
+	UsageAge() time.Duration
 	// Entries returns the number of entries, this one included.
 	Entries() int
 	// Rank returns the position of this entry among all in an order that depends on key,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,6 +41,9 @@
 	DrainTime time.Duration
 	// Peers is nil for a single entry.
 	Peers Peers
+	// SpreadCalls spreads plain calls by the age of what is known of the servers' loads. Without
+	// it the server that seems the least loaded is chosen.
+	SpreadCalls bool
 	// QuotaTolerance is by how much quotas may be exceeded.
 	QuotaTolerance quota.Tolerance
 	// KeyAge, if not nil, returns the age of what is known of the keys, of which no more than
@@ -92,6 +95,9 @@
 	// refusedBy counts refused requests to models.
 	refusedBy callerCounts
 
+	// levels chooses servers of plain services.
+	levels levels
+
 	// lastFence is the fence of the last order.
 	lastFence atomic.Int64
 
