--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -31,6 +31,8 @@
 	after  int
 	// content and part, if not "", are the body, and a part of the prompt.
 	content, part string
+	// key is the caller's key, and organisation its owner.
+	key, organisation string
 }
 
 // callers send requests to the entries over persistent connections and store the
@@ -58,7 +60,7 @@
 		wg.Go(func() {
 			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
 			for ctx.Err() == nil {
-				r := c.call(rnd.IntN(len(c.fleet.entries)), paths[rnd.IntN(len(paths))])
+				r := c.callWithKey(rnd)
 				for range maxTakeUps {
 					if !r.broken() {
 						break
@@ -83,7 +85,13 @@
 
 // takeUp sends a request that takes up the stream of a former one.
 func (c *callers) takeUp(entry int, former result) result {
-	return c.send(result{path: former.path, entry: entry, stream: former.stream, after: former.after + strings.Count(former.body, "id: ")})
+	return c.send(result{path: former.path, entry: entry, organisation: former.organisation, key: former.key, stream: former.stream, after: former.after + strings.Count(former.body, "id: ")})
+}
+
+// callWithKey sends a request with a random path and key to a random entry.
+func (c *callers) callWithKey(rnd *rand.Rand) result {
+	organisation, key := c.fleet.keys.draw(rnd)
+	return c.send(result{path: paths[rnd.IntN(len(paths))], entry: rnd.IntN(len(c.fleet.entries)), organisation: organisation, key: key})
 }
 
 // call sends one request and stores its result.
@@ -106,7 +114,11 @@
 	}
 	req.Host = host
 	req.GetBody = nil // prevents retries by net/http
-	stated := standin.CallerRequest{ID: id, Deadline: requestTimeout, Resumes: out.stream, LastEvent: out.after}
+	if out.key == "" {
+		out.organisation, out.key = organisations[0], permanentKey(organisations[0])
+	}
+	c.fleet.history.expect(id, out.organisation)
+	stated := standin.CallerRequest{ID: id, Key: out.key, Deadline: requestTimeout, Resumes: out.stream, LastEvent: out.after}
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
 		stated.PromptTokens, stated.MaxTokens = promptTokens, eventCount*eventTokens
 		stated.Parts = []string{commonPart, id}
@@ -158,6 +170,9 @@
 	for _, broken := range mixedStreams(c.results) {
 		t.Error(broken)
 	}
+	for _, broken := range c.fleet.keys.judge(c.results, h) {
+		t.Error(broken)
+	}
 	for _, l := range h.late {
 		t.Errorf("request %s: sent to a server that had drained", l)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -109,13 +109,14 @@
 	version      int
 	disturbances disturbances
 	copies       []standin.Copy // of the store, to be restored
+	keys         keyring
 }
 
 // newFleet starts a fleet. Each seed has its own network of loopback addresses,
 // since all entries use the same ports.
 func newFleet(t *testing.T, seed uint64) *fleet {
 	addrs := testaddr.Reserve(t)
-	f := &fleet{t: t, name: fmt.Sprint("seed", seed), host: addrs, history: &history{runs: map[string]int{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
+	f := &fleet{t: t, name: fmt.Sprint("seed", seed), host: addrs, history: &history{runs: map[string]int{}, organisations: map[string]string{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
 	for i, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
 		f.addServer(fmt.Sprintf("s%d", i), stage)
 	}
@@ -141,7 +142,7 @@
 	s := standin.NodeSettings{
 		Name: e.name, IP: e.ip, DataCentre: dataCentre, FirstPort: firstPort, LastPort: lastPort, Seeds: []string{net + "1:1", net + "2:1"},
 		Callers: e.callers, Ready: e.ready, MemoryMB: 500, Grace: gracePeriod, Drain: drainTimeout,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.fleet.store.link.addr,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.fleet.store.link.addr, Revoke: revokeTime,
 	}
 	if err := os.WriteFile(e.settingsFile, []byte(s.Text()), 0o600); err != nil {
 		e.fleet.t.Fatal(err)
@@ -203,7 +204,9 @@
 // in the timeouts of the routes only, and their numbers are not consecutive.
 func (f *fleet) configure() {
 	f.version += 1 + f.version%3
+	withdrawn := f.keys.rotate(f.version)
 	f.publish()
+	f.keys.withdraw(withdrawn, time.Now())
 }
 
 // publish writes the configuration to the store.
@@ -217,7 +220,8 @@
 			{Path: "/resumable/", Kind: "streaming", Service: modelService, Attempts: 2, Resumable: true},
 		},
 		Plain: plainService, Generating: modelService, MaxConnections: 100, Slots: 16, Memory: 60_000, HandleTTL: 500 * time.Millisecond, EventTokens: eventTokens,
-		HeaderBytes: 16 << 10, BodyBytes: 100_000, HeaderTimeout: 3 * time.Second, CallersIdleTimeout: 15 * time.Second,
+		Organisations: f.keys.byOrganisation(),
+		HeaderBytes:   16 << 10, BodyBytes: 100_000, HeaderTimeout: 3 * time.Second, CallersIdleTimeout: 15 * time.Second,
 	})
 }
 
@@ -271,6 +275,7 @@
 // restoreStore has the store come back from an earlier copy. The leaving server writes again at
 // once, the operator and the other servers when the fault ends.
 func (f *fleet) restoreStore(rnd *rand.Rand) (name string, end func()) {
+	f.keys.restored()
 	f.store.Restore(f.copies[rnd.IntN(len(f.copies))])
 	f.copies = nil
 	f.register(f.servers[leavingServer], "draining")
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -22,6 +22,27 @@
 	runs map[string]int // by request ID
 	// late holds requests that a draining server received after maxDrainTime.
 	late []string
+	// organisations are those of the requests, by ID, and foreign the requests that reached a
+	// server with another one or with a key.
+	organisations map[string]string
+	foreign       []string
+}
+
+// expect records the organisation that servers should get with a request.
+func (h *history) expect(id, organisation string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.organisations[id] = organisation
+}
+
+// checkOrganisation records a request that reached a server with another organisation than
+// that of its caller, or with the caller's key.
+func (h *history) checkOrganisation(in standin.ServerRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if want, ok := h.organisations[in.ID]; ok && (in.Key != "" || in.Organisation != want) {
+		h.foreign = append(h.foreign, fmt.Sprintf("request %s of %s reached a server for %q, key passed on: %t", in.ID, want, in.Organisation, in.Key != ""))
+	}
 }
 
 // recordRun records that a server ran a request.
@@ -88,6 +109,7 @@
 	}
 	in := standin.ReadServerRequest(r)
 	id := in.ID
+	s.history.checkOrganisation(in)
 	standin.NameRequest(w.Header(), id)
 	s.mu.Lock()
 	refusing, losesAnswers, noticedBy := s.refusing, s.losesAnswers, s.drainNoticedBy
