--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -507,7 +507,7 @@
 	// MostUrgent is the lowest rank that jobs of the model have. Jobs with a higher one
 	// are less urgent; see aging.
 	Priority, MostUrgent int
-	// Competing is set for the jobs of a deployment that tells its callers apart, so that
+	// Competing is set for the jobs of a deployment that distinguishes its callers, so that
 	// none of them is starved: large jobs then go ahead of their arrival.
 	Competing bool
 	// Late jobs, which can not meet their caller's target any more, go after all others.
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -59,7 +59,7 @@
 	RefusedDecodes int `json:"refused_decodes"`
 	// Orders are the changes of stage.
 	Orders int `json:"orders"`
-	// PrefillSpread and DecodeSpread tell how evenly the servers were loaded: the 99th
+	// PrefillSpread and DecodeSpread show how evenly the servers were loaded: the 99th
 	// percentile over the mean of their queues of prefills, in time, and of their runs.
 	PrefillSpread float64 `json:"prefill_spread"`
 	DecodeSpread  float64 `json:"decode_spread"`
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -77,9 +77,9 @@
 	// one that a peer has.
 	OnConfig func(text []byte)
 	// Registry, if not nil, is the entry's knowledge of the registry, of which the entries
-	// tell each other the age.
+	// exchange the age.
 	Registry Registry
-	// Quotas, if not nil, are the quotas of organisations, of which the entries tell each other
+	// Quotas, if not nil, are the quotas of organisations, whose use the entries report to each other
 	// their use.
 	Quotas *quota.Table
 }
@@ -151,9 +151,9 @@
 	// sent at once.
 	dirtyServers map[string]bool
 	// lastServer is the last server of the last message of this entry's observations, and
-	// heardServers are those of which peers have sent some that were not passed on yet.
-	lastServer   string
-	heardServers map[string]bool
+	// updatedServers are those of which peers have sent some that were not passed on yet.
+	lastServer     string
+	updatedServers map[string]bool
 	// remotePools are the pools for which a peer has ever reported waiting requests.
 	remotePools map[string]bool
 	// registry is the newest state of the registry that this entry has read.
@@ -189,7 +189,7 @@
 		seeds: o.Seeds, localUse: map[string]Usage{}, dirty: map[string]bool{}, peers: map[string]*peer{},
 		remotePools: map[string]bool{}, waits: map[string][]Waiting{}, dirtyWaits: map[string]bool{}, newPeers: map[string]bool{}, originMessages: map[string]*message{},
 		speeds: map[string]predict.SpeedSums{}, dirtySpeeds: map[string]bool{}, sentSpeeds: map[string]float64{},
-		dirtyServers: map[string]bool{}, heardServers: map[string]bool{},
+		dirtyServers: map[string]bool{}, updatedServers: map[string]bool{},
 		freshnessAsked: map[uint64]time.Duration{},
 	}
 }
@@ -420,7 +420,7 @@
 			return
 		case <-full.C:
 			x.expire(time.Now())
-			x.notifyHeardServerSpeeds(time.Now())
+			x.notifyUpdatedServerSpeeds(time.Now())
 			x.sendFull(false)
 			x.sendEvidence(true)
 			full.Reset(x.fullInterval())
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -239,7 +239,7 @@
 	// only in messages to peers that were found or silent.
 	Quotas []quota.Use   `cbor:"19,keyasint,omitempty"`
 	Levels *quota.Levels `cbor:"20,keyasint,omitempty"`
-	// Known is the number of entries that the sender has heard of lately; 0 if it does not say.
+	// Known is the number of entries that the sender has recorded lately; 0 if it does not state it.
 	Known int `cbor:"21,keyasint,omitempty"`
 	// ServerSpeeds are what the sender has observed of the speeds of single servers; in
 	// messages of their own.
@@ -273,7 +273,7 @@
 	// speeds are the observations of the speeds of servers, by service.
 	speeds map[string]predict.SpeedSums
 	// serverSpeeds are the observations of the speeds of single servers.
-	serverSpeeds map[string]heardSpeeds
+	serverSpeeds map[string]receivedSpeeds
 	// seqs are the sequence numbers of the messages that last set each use.
 	seqs map[string]uint64
 }
@@ -282,7 +282,7 @@
 	return &peer{
 		incarnation: incarnation, uses: map[string]Usage{}, seqs: map[string]uint64{},
 		waits: map[string][]Waiting{}, waitSeqs: map[string]uint64{}, speeds: map[string]predict.SpeedSums{},
-		serverSpeeds: map[string]heardSpeeds{},
+		serverSpeeds: map[string]receivedSpeeds{},
 	}
 }
 
--- a/internal/loadexchange/servers.go
+++ b/internal/loadexchange/servers.go
@@ -74,8 +74,8 @@
 	return out
 }
 
-// heardSpeeds are the observations of a peer with the time at which they arrived.
-type heardSpeeds struct {
+// receivedSpeeds are the observations of a peer with the time at which they arrived.
+type receivedSpeeds struct {
 	ServerSpeeds
 	at time.Time
 }
@@ -163,8 +163,8 @@
 	x.mu.Lock()
 	if p := x.peers[from]; p != nil {
 		for name, s := range m.ServerSpeeds {
-			p.serverSpeeds[name] = heardSpeeds{ServerSpeeds: s.speeds(), at: now}
-			x.heardServers[name] = true
+			p.serverSpeeds[name] = receivedSpeeds{ServerSpeeds: s.speeds(), at: now}
+			x.updatedServers[name] = true
 		}
 	}
 	x.mu.Unlock()
@@ -173,12 +173,12 @@
 	}
 }
 
-// notifyHeardServerSpeeds calls SetRemoteServerSpeeds for the servers of which peers have sent
+// notifyUpdatedServerSpeeds calls SetRemoteServerSpeeds for the servers of which peers have sent
 // observations since it was last called.
-func (x *Exchange) notifyHeardServerSpeeds(now time.Time) {
+func (x *Exchange) notifyUpdatedServerSpeeds(now time.Time) {
 	x.mu.Lock()
-	names := slices.Collect(maps.Keys(x.heardServers))
-	x.heardServers = map[string]bool{}
+	names := slices.Collect(maps.Keys(x.updatedServers))
+	x.updatedServers = map[string]bool{}
 	x.mu.Unlock()
 	x.notifyServerSpeeds(names, now)
 }
--- a/internal/loadexchange/servers_test.go
+++ b/internal/loadexchange/servers_test.go
@@ -102,7 +102,7 @@
 		is.NoErr(err)
 		y.apply("10.0.0.1:1", m, time.Now())
 	}
-	y.notifyHeardServerSpeeds(time.Now())
+	y.notifyUpdatedServerSpeeds(time.Now())
 	t.Logf("%d datagrams, %d bytes for each server with a name of 60 bytes", len(conn.sent), total/len(own))
 	is.Equal(len(receiver.got), 300)
 	for name, others := range receiver.got {
--- a/internal/quota/contacts.go
+++ b/internal/quota/contacts.go
@@ -78,9 +78,9 @@
 	return silence*time.Duration(max(peersScaled, len(c.peers)))/peersScaled + c.late
 }
 
-// hear records a message of a peer. A message that arrives after the last one of its sender is
+// receive records a message of a peer. A message that arrives after the last one of its sender is
 // ignored.
-func (c *contacts) hear(now time.Time, addr string, incarnation int64, known int, leaving bool) *contact {
+func (c *contacts) receive(now time.Time, addr string, incarnation int64, known int, leaving bool) *contact {
 	p, ok := c.peers[addr]
 	if !ok {
 		p = &contact{recent: map[int]*recent{}}
--- a/internal/quota/table.go
+++ b/internal/quota/table.go
@@ -1,6 +1,6 @@
 // Package quota limits what organisations use over all entries together. Each entry has a
 // token bucket for each organisation, from which it subtracts its own use and that which its
-// peers report. It does no I/O and is told the time. See docs/design/066-quotas.md.
+// peers report. It does no I/O and takes the time as an argument. See docs/design/066-quotas.md.
 package quota
 
 import (
@@ -325,7 +325,7 @@
 	if p := t.contacts.peers[peer]; p != nil {
 		wasSilent = now.Sub(p.last) > t.contacts.silence()
 	}
-	p := t.contacts.hear(now, peer, incarnation, known, leaving)
+	p := t.contacts.receive(now, peer, incarnation, known, leaving)
 	r, ok := t.remotes[peer]
 	if !ok || r.incarnation != incarnation {
 		r = &remote{incarnation: incarnation, since: now, fresh: ok, sums: map[string]remoteSum{}}
--- a/internal/quota/tolerance.go
+++ b/internal/quota/tolerance.go
@@ -10,7 +10,7 @@
 	// overageShare and slackShare are the fractions of the tolerance that the entries grant. A
 	// request that is refused below its quota is a loss for its caller, while one that is
 	// admitted within the tolerance costs nobody anything. The rest is for what entries that
-	// do not hear each other use at the same time.
+	// are out of contact use at the same time.
 	overageShare = 0.5
 	slackShare   = 0.3
 )
--- a/internal/router/authorise.go
+++ b/internal/router/authorise.go
@@ -10,8 +10,8 @@
 
 const (
 	// staleRetry is the advised delay while the knowledge of the keys is stale at an entry that
-	// hears of no other: the platform moves the caller to one that is not cut off. Where
-	// others are heard of, they are stale too, and the registry is out of reach for all.
+	// has no live peers: the platform moves the caller to one that is not cut off. Where
+	// peers are alive, they are stale too, and the registry is out of reach for all.
 	staleRetry = 500 * time.Millisecond
 	// unknownKeyShare is the fraction of MaxKeyAge above which an unknown key may be a new one
 	// that this entry has not read yet.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -34,7 +34,7 @@
 	// last survived requests with some causes.
 	ReportEnd(e blame.End)
 	ReportSurvived(causes map[blame.Key]time.Time)
-	// Alive returns the number of other entries that are heard of.
+	// Alive returns the number of other entries that are alive.
 	Alive() int
 	// PublishQuotas publishes what was charged to quotas and not published yet, at once.
 	PublishQuotas()
--- a/internal/router/priority.go
+++ b/internal/router/priority.go
@@ -91,7 +91,7 @@
 	return &p
 }
 
-// competing reports whether the configuration tells the callers of the service apart, by
+// competing reports whether the configuration distinguishes the callers of the service, by
 // organisation or by priority. Others are served in the order of arrival alone.
 func (x *exchange) competing() bool {
 	c := x.router.directory.Current().Config
@@ -145,8 +145,8 @@
 	return out
 }
 
-// countRefusal counts a request to a model that was not run, where the configuration tells
-// callers apart.
+// countRefusal counts a request to a model that was not run, where the configuration
+// distinguishes callers.
 func (x *exchange) countRefusal() {
 	if x.engine != nil && x.competing() {
 		x.router.refusedBy.add(callerKey{x.priority(), x.organisationName()})
--- a/internal/router/split.go
+++ b/internal/router/split.go
@@ -99,7 +99,7 @@
 	return out
 }
 
-// speedClass is the ratio of speeds from which servers are told apart when some change their
+// speedClass is the ratio of speeds from which servers are distinguished when some change their
 // stage. Estimates of servers that are equally fast differ by less.
 const speedClass = 1.5
 
--- a/internal/router/uneven.go
+++ b/internal/router/uneven.go
@@ -23,7 +23,7 @@
 }
 
 // paceSurprise is the difference between a stated pace and the one that was expected from
-// which the other entries are told at once. Most statements confirm what is expected and go
+// which is reported to the other entries at once. Most statements confirm what is expected and go
 // along with messages that are sent anyway.
 const paceSurprise = 0.25
 
@@ -99,7 +99,7 @@
 // they are shared at once: the first ones replace assumptions.
 const speedsGrowth = 2
 
-// shareServerSpeeds tells the other entries of this entry's observations of the speed of a
+// shareServerSpeeds reports to the other entries what this entry observed of the speed of a
 // server if they have grown much.
 func (r *Router) shareServerSpeeds(b *backend) {
 	if r.options.Peers == nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -84,7 +84,7 @@
 	// Other responses are discarded.
 	Matches func(http.Header) bool
 	// ID, if not "", names the request. A connection whose last request had the same ID is not
-	// reused, since Matches does not tell a late copy of the response to that one apart.
+	// reused, since Matches does not distinguish a late copy of the response to that one.
 	ID string
 	// LastUse closes the connection after the response. It is meant for requests whose
 	// responses name no request: a late second copy of one would be taken for the response to
