dispatch: an explained job is not counted in the order of the others

Explain set the rank of its job as an offer does, which counts it: one in four less urgent jobs goes first, and the mean of the prompts moved.

--- a/internal/dispatch/compete.go
+++ b/internal/dispatch/compete.go
@@ -140,17 +140,24 @@
 	largeAhead  = 1.5
 )
 
-// setRank sets the place in the order of a competing job that is offered.
+// aheadOf returns the time by which a competing job goes ahead of its arrival.
+func (p *pool[S]) aheadOf(j *Job) time.Duration {
+	prompt := float64(j.PromptTokens)
+	usual := largePrompt * p.sizes.Value(prompt)
+	if !j.Competing || prompt <= usual {
+		return 0
+	}
+	return time.Duration(largeAhead * (1 - usual/prompt) * float64(j.Goal.FirstToken))
+}
+
+// setRank counts a competing job that is offered and sets its place in the order.
 func (p *pool[S]) setRank(w *Waiter[S]) {
 	j := w.request
 	if !j.Competing {
 		return
 	}
-	prompt := float64(j.PromptTokens)
-	p.sizes.Add(prompt)
-	if usual := largePrompt * p.sizes.Value(prompt); prompt > usual {
-		w.job.Ahead = time.Duration(largeAhead * (1 - usual/prompt) * float64(j.Goal.FirstToken))
-	}
+	p.sizes.Add(float64(j.PromptTokens))
+	w.job.Ahead = p.aheadOf(j)
 	if j.Priority <= j.MostUrgent {
 		return
 	}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -34,7 +34,7 @@
 	p := d.poolLocked(j.Model)
 	p.refresh()
 	w := p.newWaiter(j)
-	p.setRank(w)
+	w.job.Ahead = p.aheadOf(j) // setRank would count the job
 	p.prepare(w)
 	out := Explanation{}
 	timeToFirstToken, wait := p.predict(w)
