loadexchange, router: one copy of live peers, rendezvous order, stages and refusals

The live peers were collected in five places and ordered by weight in two; the servers of both stages were classified by the same loop twice; the service time of each plain server was read twice a call; Where repeated the refusals that requests get. No behaviour changes.

--- a/internal/loadexchange/ends.go
+++ b/internal/loadexchange/ends.go
@@ -103,13 +103,7 @@
 	out.add(x.newEvidence)
 	x.sentEvidence.add(x.newEvidence)
 	x.newEvidence = evidence{}
-	to := map[string]bool{}
-	now := time.Now()
-	for addr, p := range x.peers {
-		if p.alive(now, x.timeoutLocked()) {
-			to[addr] = true
-		}
-	}
+	to := x.livePeersLocked(time.Now())
 	x.mu.Unlock()
 	x.sendAll(out, to)
 }
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -7,8 +7,10 @@
 package loadexchange
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -358,6 +360,17 @@
 	return h.Sum64()
 }
 
+// highestWeights returns up to n entries in the order of their rendezvous weights for a key,
+// the highest first.
+func highestWeights(key string, entries map[string]bool, n int) []string {
+	weights := make(map[string]uint64, len(entries))
+	for addr := range entries {
+		weights[addr] = rendezvousWeight(key, addr)
+	}
+	out := slices.SortedFunc(maps.Keys(weights), func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+	return out[:min(n, len(out))]
+}
+
 // ReportDelay is the usual age of a use that is sent at once when it is received: it waits for
 // others for batchDelay, and then takes the latency between entries, which is about as long.
 const ReportDelay = 2 * batchDelay
@@ -389,20 +402,27 @@
 func (x *Exchange) Peers() []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var out []string
-	now := time.Now()
+	return slices.Sorted(maps.Keys(x.livePeersLocked(time.Now())))
+}
+
+// Alive returns the number of peers that are alive.
+func (x *Exchange) Alive() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.livePeersLocked(time.Now()))
+}
+
+// livePeersLocked returns the addresses of the peers that are alive.
+func (x *Exchange) livePeersLocked(now time.Time) map[string]bool {
+	out := map[string]bool{}
 	for addr, p := range x.peers {
 		if p.alive(now, x.timeoutLocked()) {
-			out = append(out, addr)
+			out[addr] = true
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
-// Alive returns the number of peers that are alive.
-func (x *Exchange) Alive() int { return len(x.Peers()) }
-
 // Run sends and receives until ctx ends, and then notifies the peers that this entry
 // leaves.
 func (x *Exchange) Run(ctx context.Context) {
--- a/internal/loadexchange/freshness.go
+++ b/internal/loadexchange/freshness.go
@@ -1,7 +1,6 @@
 package loadexchange
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -50,18 +49,9 @@
 // learn from them: the first of all live entries in the order of their rendezvous weights.
 // Views may differ; then an entry more or less asks.
 func (x *Exchange) readersLocked(now time.Time) []string {
-	entries := []string{x.options.Self}
-	for addr, p := range x.peers {
-		if p.alive(now, x.timeoutLocked()) {
-			entries = append(entries, addr)
-		}
-	}
-	weights := map[string]uint64{}
-	for _, addr := range entries {
-		weights[addr] = rendezvousWeight("registry", addr)
-	}
-	slices.SortFunc(entries, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
-	return entries[:min(len(entries), max(minReaders, len(entries)/entriesPerReader))]
+	entries := x.livePeersLocked(now)
+	entries[x.options.Self] = true
+	return highestWeights("registry", entries, max(minReaders, len(entries)/entriesPerReader))
 }
 
 // ReadsRegistry reports whether this entry is one of those that ask the registry before the
@@ -82,13 +72,7 @@
 	}
 	x.mu.Lock()
 	now, wall := x.options.Registry.Now(), time.Now()
-	var alive []string
-	for addr, p := range x.peers {
-		if p.alive(wall, x.timeoutLocked()) {
-			alive = append(alive, addr)
-		}
-	}
-	readers := x.readersLocked(wall)
+	readers, alive := x.readersLocked(wall), slices.Collect(maps.Keys(x.livePeersLocked(wall)))
 	maps.DeleteFunc(x.freshnessAsked, func(_ uint64, at time.Duration) bool { return now-at > freshnessTTL })
 	nonce := rand.Uint64()
 	x.freshnessAsked[nonce] = now
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -1,8 +1,6 @@
 package loadexchange
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"time"
 
@@ -60,23 +58,7 @@
 
 // keepersLocked returns the live peers that come first in the order of a stream.
 func (x *Exchange) keepersLocked(k origin.Key, n int) []string {
-	type candidate struct {
-		addr   string
-		weight uint64
-	}
-	var all []candidate
-	now, key := time.Now(), strconv.FormatUint(uint64(k), 36)
-	for addr, p := range x.peers {
-		if p.alive(now, x.timeoutLocked()) {
-			all = append(all, candidate{addr, rendezvousWeight(key, addr)})
-		}
-	}
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
-	var out []string
-	for _, c := range all[:min(n, len(all))] {
-		out = append(out, c.addr)
-	}
-	return out
+	return highestWeights(strconv.FormatUint(uint64(k), 36), x.livePeersLocked(time.Now()), n)
 }
 
 // sendOrigins sends the messages on streams that wait.
--- a/internal/loadexchange/servers.go
+++ b/internal/loadexchange/servers.go
@@ -142,17 +142,6 @@
 	}
 }
 
-// livePeersLocked returns the addresses of the peers that are alive.
-func (x *Exchange) livePeersLocked(now time.Time) map[string]bool {
-	out := map[string]bool{}
-	for addr, p := range x.peers {
-		if p.alive(now, x.timeoutLocked()) {
-			out[addr] = true
-		}
-	}
-	return out
-}
-
 // applyServerSpeeds records what a peer has observed of servers. A few servers are passed on
 // at once, and many with the next full message: with each message of each peer, the sums over
 // all peers would take much of the time of a small VM.
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -150,36 +150,16 @@
 		since := max(b.sampledAt, until-averagingTime)
 		b.decay(until - since)
 		rate := r.fleet.speedsOf(service).PrefillRate()
-		var staying, toPrefill, toDecode []candidate
-		for _, s := range prefillServers {
-			c := newCandidate(s, directory.Prefill)
-			switch {
-			case s.leaving():
-			case s.switchTimeLeft(wall) > 0:
-				toDecode = append(toDecode, c)
-			default:
-				staying = append(staying, c)
-			}
-		}
-		sortCandidates(staying, directory.Prefill)
-		prefills, staying = speedsOf(staying), staying[:0]
 		for _, s := range decodeServers {
 			s.view.VisitRuns(func(run *placement.Run) {
 				if run.Began > since && run.Began <= until {
 					b.add(run, rate, s.view.ServiceStepMillis(), projectedShare*float64(s.view.Pieces()))
 				}
 			})
-			c := newCandidate(s, directory.Decode)
-			switch {
-			case s.leaving():
-			case s.switchTimeLeft(wall) > 0:
-				toPrefill = append(toPrefill, c)
-			default:
-				staying = append(staying, c)
-			}
 		}
-		sortCandidates(staying, directory.Decode)
-		prefills, decodes = append(prefills, speedsOf(toPrefill)...), append(speedsOf(staying), speedsOf(toDecode)...)
+		prefilling, toDecode := stageSpeeds(prefillServers, directory.Prefill, wall)
+		decoding, toPrefill := stageSpeeds(decodeServers, directory.Decode, wall)
+		prefills, decodes = append(prefilling, toPrefill...), append(decoding, toDecode...)
 		b.sampledAt = until
 	})
 	return prefills, decodes
--- a/internal/router/level.go
+++ b/internal/router/level.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex       // guards the fields below
 	own     map[string]*rate // of this entry's attempts, by service
 	servers []placement.LevelServer
+	times   []time.Duration // of a call, by server
 }
 
 // levelChoice is what a choice of a plain server was based on, for the log.
@@ -65,15 +66,14 @@
 	if r.options.Peers != nil && r.options.SpreadCalls {
 		age, others = r.options.Peers.UsageAge(), r.entries()-1
 	}
-	mean := r.meanServiceTime(list)
-
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	mean := l.measureLocked(r, list, now)
 	perServer := l.observeLocked(service, now) * float64(others) / float64(len(list))
 	l.servers = l.servers[:0]
 	unseen := 0.0
-	for _, b := range list {
-		s := r.levelServer(b, now, knownFor(b, age), mean, perServer)
+	for i, b := range list {
+		s := r.levelServer(b, now, knownFor(b, age), l.times[i], mean, perServer)
 		unseen += s.Unseen
 		l.servers = append(l.servers, s)
 	}
@@ -95,11 +95,11 @@
 	return own.add(now)
 }
 
-// levelServer returns what is known of the load of a plain server for some time. mean is the
-// mean service time of the servers, and perServer the number of calls a second that the other
+// levelServer returns what is known of the load of a plain server for some time. took is its
+// service time, 0 before the first answer, mean that of all servers, and perServer the number of calls a second that the other
 // entries send to each.
-func (r *Router) levelServer(b *backend, now time.Time, known, mean time.Duration, perServer float64) placement.LevelServer {
-	took, speed := r.serviceTime(b), 1.0
+func (r *Router) levelServer(b *backend, now time.Time, known, took, mean time.Duration, perServer float64) placement.LevelServer {
+	speed := 1.0
 	if took > 0 {
 		speed = min(max(float64(mean)/float64(took), minSpeed), maxSpeed)
 	} else {
@@ -122,16 +122,15 @@
 	return age
 }
 
-// serviceTime returns the mean time that a plain server works on a call for the moment; 0
-// before the first answer.
-func (r *Router) serviceTime(b *backend) time.Duration { return r.callTime(b, time.Now()) }
-
-// meanServiceTime returns the mean service time of the servers of which it is known; 0 if
-// there are none.
-func (r *Router) meanServiceTime(list []*backend) time.Duration {
+// measureLocked sets times to the service times of some servers and returns the mean of those
+// that are known; 0 if there are none. The caller holds l.mu.
+func (l *levels) measureLocked(r *Router, list []*backend, now time.Time) time.Duration {
+	l.times = l.times[:0]
 	sum, count := time.Duration(0), time.Duration(0)
 	for _, b := range list {
-		if took := r.serviceTime(b); took > 0 {
+		took := r.callTime(b, now)
+		l.times = append(l.times, took)
+		if took > 0 {
 			sum += took
 			count++
 		}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -77,7 +77,7 @@
 		}
 		if x.attempts == 0 && x.router.overloaded(b, x.route.LatencyTarget) {
 			x.warn("refused before it was sent", "server", b.Name(), "in_flight", b.localCalls.Load()+b.remoteCalls.Load(), "work_ms", x.router.callTime(b, time.Now()).Milliseconds())
-			x.fail(apierror.NotRun(apierror.KindOverloaded, "all servers of "+x.service+" have a backlog beyond the target", "retry after the delay").WithRetryAfter(sleep.Jitter(overloadedRetry)))
+			x.fail(x.refuseBacklog().WithRetryAfter(sleep.Jitter(overloadedRetry)))
 			return
 		}
 		if !x.router.fleet.take(b, time.Now()) {
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -67,7 +67,7 @@
 	x.router.count.quotaRefused.Add(1)
 	wait := max(d.Wait, minQuotaRetry)
 	wait += time.Duration(quotaRetrySpread * rand.Float64() * float64(wait))
-	return apierror.NotRun(apierror.KindQuotaExceeded, "the quota of the organisation is used up", "retry after the delay").WithRetryAfter(wait)
+	return refuseOverQuota().WithRetryAfter(wait)
 }
 
 // refundQuota returns what the call was charged if no server ran it.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,7 +16,6 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/semaphore"
 
-	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/blame"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/dispatch"
@@ -133,12 +132,12 @@
 	r.count.requests.Add(1)
 	snap := r.directory.Current()
 	if snap.Config == nil {
-		x.fail(apierror.NotRun(apierror.KindStarting, "no configuration is known yet", "retry after the delay").WithRetryAfter(r.startRetry(c)))
+		x.fail(refuseStarting().WithRetryAfter(r.startRetry(c)))
 		return
 	}
 	x.route = snap.Route(c.Host, c.Path)
 	if x.route == nil {
-		x.fail(apierror.NotRun(apierror.KindNotFound, "no route matches "+c.Host+c.Path, "use a route of the configuration"))
+		x.fail(refuseNoRoute(c))
 		return
 	}
 	if refusal := x.authorise(snap.Config); refusal != nil {
--- a/internal/router/split.go
+++ b/internal/router/split.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/samphirestream/samphirestream/internal/directory"
 )
@@ -139,6 +140,24 @@
 	})
 }
 
+// stageSpeeds returns the speeds of the servers of a stage: of those that stay, in the order in
+// which they would change it, and of those that change it now. Servers that leave are left out.
+// The dispatcher's lock is held.
+func stageSpeeds(servers []*backend, stage directory.Stage, now time.Time) (staying, changing []float64) {
+	var stay, change []candidate
+	for _, s := range servers {
+		switch c := newCandidate(s, stage); {
+		case s.leaving():
+		case s.switchTimeLeft(now) > 0:
+			change = append(change, c)
+		default:
+			stay = append(stay, c)
+		}
+	}
+	sortCandidates(stay, stage)
+	return speedsOf(stay), speedsOf(change)
+}
+
 // speedsOf returns the speeds of candidates.
 func speedsOf(list []candidate) []float64 {
 	out := make([]float64, len(list))
--- a/internal/router/where.go
+++ b/internal/router/where.go
@@ -66,18 +66,19 @@
 		out.KeyAge = age.Milliseconds()
 	}
 	if snap.Config == nil {
-		out.Refusal = apierror.NotRun(apierror.KindStarting, "no configuration is known yet", "retry after the delay")
+		out.Refusal = refuseStarting()
 		return out
 	}
 	out.Version = snap.Config.Version
 	now := time.Now()
 	x := &exchange{router: r, route: snap.Route(q.Host, q.Path), tried: map[string]bool{}, fresh: true}
+	x.call = &Call{Host: q.Host, Path: q.Path, Arrived: now, PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens}
 	if x.route == nil {
-		out.Refusal = apierror.NotRun(apierror.KindNotFound, "no route matches "+q.Host+q.Path, "use a route of the configuration")
+		out.Refusal = refuseNoRoute(x.call)
 		return out
 	}
-	x.call = &Call{Host: q.Host, Path: q.Path, Arrived: now, Deadline: now.Add(x.route.Timeout), PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens}
-	x.deadline = x.call.Deadline
+	x.deadline = now.Add(x.route.Timeout)
+	x.call.Deadline = x.deadline
 	if out.Refusal = x.whereOrganisation(snap.Config, q.Organisation); out.Refusal != nil {
 		return out
 	}
@@ -126,7 +127,7 @@
 	}
 	w.Quota = &state.Rows[i]
 	if w.Quota.Level <= 0 {
-		w.Refusal = apierror.NotRun(apierror.KindQuotaExceeded, "the quota of the organisation is used up", "retry after the delay")
+		w.Refusal = refuseOverQuota()
 	}
 }
 
@@ -169,7 +170,7 @@
 	}
 	w.Server = w.Plain[0].Server
 	if r.overloaded(r.fleet.get(w.Server), x.route.LatencyTarget) {
-		w.Refusal = apierror.NotRun(apierror.KindOverloaded, "all servers of "+x.service+" have a backlog beyond the target", "retry after the delay")
+		w.Refusal = x.refuseBacklog()
 	}
 }
 
