--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -21,8 +21,11 @@
 	servers     *fakeServers
 	entries     []*router.Router
 	directories []*directory.Directory
+	network     *memnet.Network
 	// stop stops the load exchange of each entry.
 	stop []context.CancelFunc
+	// start starts an entry, or starts it again with nothing that it knew, before a directory.
+	start func(i int, d *directory.Directory)
 	// observe, if not nil, sees each request that arrives at a server, and returns what its
 	// answer says of the server.
 	observe func(entry int, server string) advisory.Notice
@@ -32,26 +35,27 @@
 func withRegion(t *testing.T, entries int, test func(t *testing.T, g *region)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New(memnet.EntryLatency)
-		g := &region{servers: newFakeServers()}
+		g := &region{servers: newFakeServers(), network: memnet.New(memnet.EntryLatency)}
 		ctx, cancel := context.WithCancel(context.Background())
 		var background sync.WaitGroup
 		addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
-		for i := range entries {
-			d := newDirectory()
-			x := loadexchange.New(network.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, nopLogger)
+		g.entries, g.directories, g.stop = make([]*router.Router, entries), make([]*directory.Directory, entries), make([]context.CancelFunc, entries)
+		g.start = func(i int, d *directory.Directory) {
+			x := loadexchange.New(g.network.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, nopLogger)
 			o := testOptions
 			o.Peers = x
 			r := router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
-			g.entries, g.directories = append(g.entries, r), append(g.directories, d)
 			x.SetHandler(r)
 			own, stop := context.WithCancel(ctx)
-			g.stop = append(g.stop, stop)
+			g.entries[i], g.directories[i], g.stop[i] = r, d, stop
 			background.Go(func() { x.Run(own) })
 		}
+		for i := range entries {
+			g.start(i, newDirectory())
+		}
 		defer func() {
 			cancel()
-			network.Close()
+			g.network.Close()
 			background.Wait()
 			time.Sleep(20 * time.Second) // requests and probes of the test end
 		}()
@@ -60,6 +64,29 @@
 	})
 }
 
+// killAll ends all entries at once, without a last message, and starts them again. change is
+// applied to what the registry holds meanwhile.
+func (g *region) killAll(change func(d *directory.Directory)) {
+	g.network.SetDrop(func(string, string) bool { return true })
+	for _, stop := range g.stop {
+		stop()
+	}
+	time.Sleep(2 * time.Second)
+	g.network.SetDrop(nil)
+	for i, former := range g.directories {
+		d := newDirectory()
+		for id := range d.Current().Servers {
+			d.Remove(id, 0)
+		}
+		change(former)
+		for _, s := range former.Current().Servers {
+			d.Put(s)
+		}
+		g.start(i, d)
+	}
+	time.Sleep(100 * time.Millisecond)
+}
+
 // load sends requests to random entries at a steady rate, and returns their answers.
 func (g *region) load(path string, perSecond float64, d time.Duration) []*recordedAnswer {
 	var all sync.WaitGroup
--- /dev/null
+++ b/internal/router/restart_test.go
@@ -0,0 +1,156 @@
+package router_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/router"
+)
+
+// begunStream is a stream that its entry relayed in part.
+type begunStream struct {
+	call *router.Call
+	cutAnswer
+}
+
+// software returns the version that began the stream.
+func (s *begunStream) software() string {
+	for v := range softwareOf(s.body.String()) {
+		return v
+	}
+	return ""
+}
+
+// beginStreams begins streams at all entries and cuts them when some of their events were sent.
+func (g *region) beginStreams(n int) []*begunStream {
+	ctx, cut := context.WithCancel(context.Background())
+	out := make([]*begunStream, n)
+	var all sync.WaitGroup
+	for i := range out {
+		c := newCall("/resumable/x")
+		c.PromptTokens, c.MaxTokens, c.ExpectedTokens = 500, 500, 400
+		out[i] = &begunStream{call: c, cutAnswer: cutAnswer{ctx: ctx}}
+		all.Go(func() { g.entries[i%len(g.entries)].Serve(ctx, c, &out[i].cutAnswer) })
+	}
+	time.Sleep(prefillTime + 60*time.Millisecond)
+	cut()
+	all.Wait()
+	return out
+}
+
+// takeUpAll takes streams up that have events, and returns how many there were and how many
+// went on, at the version that began them and at another one.
+func (g *region) takeUpAll(streams []*begunStream) (begun, same, mixed int) {
+	var mu sync.Mutex // guards the counts
+	var all sync.WaitGroup
+	for i, s := range streams {
+		if s.software() == "" {
+			continue
+		}
+		begun++
+		all.Go(func() {
+			next := serve(context.Background(), g.entries[(i+1)%len(g.entries)], takeUp(s.call, s.body.String()))
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case next.starts == 0:
+			case softwareOf(next.body.String())[s.software()]:
+				same++
+			default:
+				mixed++
+			}
+		})
+	}
+	all.Wait()
+	return begun, same, mixed
+}
+
+// serveVersions has the decode servers serve streams of some versions.
+func (g *region) serveVersions(versions map[string]string) {
+	g.setSoftware(versions)
+	for id, v := range versions {
+		g.servers.set(id, versioned(v, 0, rand.New(rand.NewPCG(1, 1))))
+	}
+}
+
+// TestStreamsGoOnAfterAllEntriesWereKilled guards against versions that entries alone remember.
+func TestStreamsGoOnAfterAllEntriesWereKilled(t *testing.T) {
+	withRegion(t, 5, func(t *testing.T, g *region) {
+		is := is.New(t)
+		g.serveVersions(map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"})
+		streams := g.beginStreams(30)
+		g.killAll(func(*directory.Directory) {})
+		begun, same, mixed := g.takeUpAll(streams)
+		is.True(begun > len(streams)/2)
+		is.Equal(mixed, 0)
+		is.Equal(same, begun)
+	})
+}
+
+// TestVersionsThatLeftBeforeARestartAreNotMixed guards against an entry that takes the only
+// version that it finds for the one that began a stream.
+func TestVersionsThatLeftBeforeARestartAreNotMixed(t *testing.T) {
+	withRegion(t, 5, func(t *testing.T, g *region) {
+		is := is.New(t)
+		g.serveVersions(map[string]string{"d1": "v1", "d2": "v1", "d3": "v1"})
+		streams := g.beginStreams(20)
+		for _, id := range decodeServers {
+			g.servers.set(id, versioned("v2", 0, rand.New(rand.NewPCG(1, 1))))
+		}
+		g.killAll(func(d *directory.Directory) {
+			for _, id := range decodeServers {
+				s := *d.Current().Servers[id]
+				s.ID, s.Software = s.ID+"-new", "v2"
+				d.Remove(id, 0)
+				d.Put(&s)
+				g.servers.set(s.ID, versioned("v2", 0, rand.New(rand.NewPCG(1, 1))))
+			}
+		})
+		begun, same, mixed := g.takeUpAll(streams)
+		is.True(begun > len(streams)/2)
+		is.Equal(mixed, 0)
+		is.Equal(same, 0)
+		refused := serve(context.Background(), g.entries[0], takeUp(streams[0].call, streams[0].body.String()))
+		is.Equal(refused.failure.Outcome, apierror.OutcomeNotRun)
+	})
+}
+
+// TestTakeUpsGoOnBesideNewLoad guards against streams that are refused like callers who return
+// late. New calls come beyond what the servers can take.
+func TestTakeUpsGoOnBesideNewLoad(t *testing.T) {
+	withRegion(t, 3, func(t *testing.T, g *region) {
+		is := is.New(t)
+		g.serveVersions(map[string]string{"d1": "v1", "d2": "v1", "d3": "v1"})
+		streams := g.beginStreams(20)
+		g.servers.prefillTime = 250 * time.Millisecond
+		var load sync.WaitGroup
+		var answers []*recordedAnswer
+		load.Go(func() { answers = g.load("/resumable/x", 40, 12*time.Second) })
+		time.Sleep(5 * time.Second)
+		begun, wentOn := 0, atomic.Int64{}
+		var takeUps sync.WaitGroup
+		for i, s := range streams {
+			if s.starts == 0 {
+				continue
+			}
+			begun++
+			c := takeUp(s.call, s.body.String())
+			c.Deadline = time.Now().Add(6 * time.Second) // of 14 seconds
+			takeUps.Go(func() { wentOn.Add(int64(serve(context.Background(), g.entries[i%3], c).starts)) })
+		}
+		takeUps.Wait()
+		load.Wait()
+		is.True(served(answers) < len(answers)*3/4)
+		t.Log(begun, wentOn.Load(), served(answers), len(answers))
+		is.True(begun > len(streams)/2)
+		is.Equal(int(wentOn.Load()), begun)
+	})
+}
