--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -194,11 +194,15 @@
 	// ReadAt is the time at which the registry last confirmed that the snapshot is
 	// complete.
 	ReadAt time.Time
+	// MissedUntil is the time up to which servers may have registered and left again without
+	// being in any snapshot; zero if none has.
+	MissedUntil time.Time
 }
 
 // Directory holds the latest snapshot. It is safe for concurrent use.
 type Directory struct {
 	mu      sync.Mutex // serializes writers and guards missing
+	created time.Time
 	current atomic.Pointer[Snapshot]
 	changed atomic.Pointer[chan struct{}]
 	// missing are the servers whose registration expired around an outage of the
@@ -230,7 +234,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{missing: map[string]time.Time{}, gone: map[string]goneServer{}, held: map[string]time.Time{}}
+	d := &Directory{created: time.Now(), missing: map[string]time.Time{}, gone: map[string]goneServer{}, held: map[string]time.Time{}}
 	d.current.Store(&Snapshot{Servers: map[string]*Server{}})
 	ch := make(chan struct{})
 	d.changed.Store(&ch)
@@ -275,6 +279,23 @@
 	d.current.Store(&next)
 }
 
+// ConfirmWholeRead records that the whole registry is read anew. Servers that were there for
+// less than shortest since the last confirmed read are not expected to have served.
+func (d *Directory) ConfirmWholeRead(at time.Time, shortest time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.Current()
+	last := next.ReadAt
+	if last.IsZero() {
+		last = d.created
+	}
+	if at.Sub(last) > shortest {
+		next.MissedUntil = at
+	}
+	next.ReadAt = at
+	d.current.Store(&next)
+}
+
 // Change is a change of the registration of one server.
 type Change struct {
 	// Put, if not nil, is the new registration; otherwise that of ID is removed.
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -149,6 +149,8 @@
 	directory  *directory.Directory
 	dataCentre string
 	peers      Peers // nil for a single entry
+	// startedAt is the start of this process; zero if no call was served before it.
+	startedAt time.Time
 
 	mu       sync.RWMutex // guards the fields below, but not the content of speeds
 	backends map[string]*backend
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -252,6 +252,7 @@
 )
 
 var testOptions = router.Options{
+	FirstStart: true,
 	DataCentre: "dc", MaxQueued: 100, SpreadCalls: true, Budget: router.BudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
 }
 
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -81,13 +81,14 @@
 	versions := x.router.fleet.softwareWithin(x.service, x.route.Timeout)
 	software, known := x.router.origins.Get(x.stream())
 	x.knownBy = originRecorded
-	if !known && len(versions) != 1 {
+	only := len(versions) == 1 && x.router.fleet.seenAllFor(x.route.Timeout)
+	if !known && !only {
 		software, known = x.askOrigin(ctx)
 		x.knownBy = originAsked
 	}
 	switch {
 	case known:
-	case len(versions) == 1:
+	case only:
 		software, x.knownBy = versions[0], originOnly
 	default:
 		x.knownBy = originUnknown
@@ -143,6 +144,29 @@
 	return out
 }
 
+// seenAllFor reports whether this process has seen all registrations for a time. Otherwise a
+// version may have begun streams and left before this process knew it.
+func (f *fleet) seenAllFor(d time.Duration) bool {
+	since := f.startedAt
+	if gap := f.directory.Current().MissedUntil; gap.After(since) {
+		since = gap
+	}
+	return since.IsZero() || time.Since(since) >= d
+}
+
+// FollowServers records the versions of the servers with each change until stop is closed.
+func (r *Router) FollowServers(stop <-chan struct{}) {
+	for {
+		changed := r.directory.Changed()
+		r.fleet.sync()
+		select {
+		case <-stop:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // softwareTTL is the time for which versions of software are remembered of which no server
 // is left. It is longer than streams last.
 const softwareTTL = origin.Retention
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -25,7 +25,7 @@
 	// stop stops the load exchange of each entry.
 	stop []context.CancelFunc
 	// start starts an entry, or starts it again with nothing that it knew, before a directory.
-	start func(i int, d *directory.Directory)
+	start func(i int, d *directory.Directory, first bool)
 	// observe, if not nil, sees each request that arrives at a server, and returns what its
 	// answer says of the server.
 	observe func(entry int, server string) advisory.Notice
@@ -40,10 +40,10 @@
 		var background sync.WaitGroup
 		addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
 		g.entries, g.directories, g.stop = make([]*router.Router, entries), make([]*directory.Directory, entries), make([]context.CancelFunc, entries)
-		g.start = func(i int, d *directory.Directory) {
+		g.start = func(i int, d *directory.Directory, first bool) {
 			x := loadexchange.New(g.network.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, nopLogger)
 			o := testOptions
-			o.Peers = x
+			o.Peers, o.FirstStart = x, first
 			r := router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
 			x.SetHandler(r)
 			own, stop := context.WithCancel(ctx)
@@ -51,7 +51,7 @@
 			background.Go(func() { x.Run(own) })
 		}
 		for i := range entries {
-			g.start(i, newDirectory())
+			g.start(i, newDirectory(), true)
 		}
 		defer func() {
 			cancel()
@@ -82,7 +82,7 @@
 		for _, s := range former.Current().Servers {
 			d.Put(s)
 		}
-		g.start(i, d)
+		g.start(i, d, false)
 	}
 	time.Sleep(100 * time.Millisecond)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,9 @@
 	// DrainTime is the time after which a server that leaves must get no requests; 0 for no
 	// bound.
 	DrainTime time.Duration
+	// FirstStart is set if the whole system starts for the first time: no entry has served a
+	// call before.
+	FirstStart bool
 	// Peers is nil for a single entry.
 	Peers Peers
 	// SpreadCalls spreads plain calls by the age of what is known of the servers' loads. Without
@@ -114,6 +117,9 @@
 		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, maxWaits: map[string]*recentMax{}, count: newCounters(), started: time.Now(),
 		origins: origin.NewTable(), blame: blame.NewRecord(), trials: semaphore.NewWeighted(1),
 	}
+	if !o.FirstStart {
+		r.fleet.startedAt = r.started
+	}
 	if r.quotas = o.Quotas; r.quotas == nil {
 		r.quotas = quota.NewTable(time.Now(), true)
 	}
