Streams are not left standing since their caller was sent a comment just then

Cause: a stall watch that found the relay sending took the caller for slow and began to wait anew, also where a comment was being sent at that moment.

--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -65,9 +65,9 @@
 			if gaps.event(time.Now(), bytes.Count(pending[:whole], eventEnd)) {
 				x.observeStep(b, gaps.median())
 			}
-			watch.sending.Store(true)
+			watch.sendingSince.Store(time.Now().UnixNano())
 			err := x.sendEvents(b, reply, pending[:whole])
-			watch.sending.Store(false)
+			watch.sendingSince.Store(0)
 			if err != nil {
 				x.log("caller gone", "events", x.events, "err", err)
 				return nil
@@ -228,8 +228,19 @@
 type stallWatch struct {
 	events chan struct{}
 	done   chan struct{}
-	// sending is set while the relay waits for the caller, and so does not read the stream.
-	sending atomic.Bool
+	// sendingSince is the time, in Unix nanoseconds, since which the relay sends to the caller,
+	// and so does not read the stream; 0 while it does not.
+	sendingSince atomic.Int64
+}
+
+// slowSend is the time after which a relay that sends waits for its caller. A shorter one only
+// coincides with the watch.
+const slowSend = 10 * time.Millisecond
+
+// waitsForCaller reports whether the relay does not read the stream since its caller is slow.
+func (w *stallWatch) waitsForCaller(now time.Time) bool {
+	since := w.sendingSince.Load()
+	return since != 0 && now.Sub(time.Unix(0, since)) >= slowSend
 }
 
 // watchStall probes the server when its stream stalls. If the server is unreachable,
@@ -265,7 +276,7 @@
 		case <-w.events:
 			last = time.Now()
 		case <-timer.C:
-			if w.sending.Load() {
+			if w.waitsForCaller(time.Now()) {
 				last = time.Now()
 				break
 			}
