origin: the first record of a stream stays

Suspected, not seen: reports of two runs of one stream, of which the first broke off before any event, overtake each other on the way, and the version of the former stays.

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -38,12 +38,12 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{present: map[Key]string{}, rotated: time.Now()} }
 
-// Put records the software of a stream. It reports whether that is new. A later record
-// replaces an earlier one: a server may break off before the first event.
+// Put records the software of a stream. It reports whether the stream was not recorded. The
+// first record stays: it is made with the first event, and reports may overtake each other.
 func (t *Table) Put(k Key, software string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known, ok := t.get(k); ok && known == software {
+	if _, ok := t.get(k); ok {
 		return false
 	}
 	t.present[k] = software
