--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/predict"
 )
@@ -166,6 +167,8 @@
 	// the time at which each was last seen. Those that were seen at syncedAt are present.
 	software map[string]map[string]time.Time
 	syncedAt time.Time
+	// keepersBy are the keepers of each service that was asked for since the last sync.
+	keepersBy map[string][]origin.Keeper
 }
 
 func newFleet(d *directory.Directory, dataCentre string, peers Peers) *fleet {
@@ -197,7 +200,7 @@
 	defer f.mu.Unlock()
 	f.recordSoftwareLocked(snap, time.Now())
 	configured := f.synced != nil && f.synced.Config == snap.Config
-	f.synced = snap
+	f.synced, f.keepersBy = snap, map[string][]origin.Keeper{}
 	if !configured {
 		f.setPriors(snap.Config)
 	}
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -106,16 +106,20 @@
 	return r.options.Peers.Keepers()
 }
 
-// keepers returns the keepers beside the servers of a service.
+// keepers returns the keepers beside the servers of a service. The list must not be modified.
 func (f *fleet) keepers(service string) []origin.Keeper {
 	f.sync()
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var out []origin.Keeper
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list, ok := f.keepersBy[service]
+	if ok {
+		return list
+	}
 	for _, s := range f.synced.Services[service] {
 		if s.Agent != "" && s.Stage != directory.Plain {
-			out = append(out, origin.Keeper{Addr: s.Agent, Software: s.Software, Leaving: s.Draining})
+			list = append(list, origin.Keeper{Addr: s.Agent, Software: s.Software, Leaving: s.Draining})
 		}
 	}
-	return out
+	f.keepersBy[service] = list
+	return list
 }
