--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/predict"
 )
@@ -169,6 +170,8 @@
 	// movedAt are the times since which routes have the services that they have, by name; routes
 	// are missing that have had no others since the start.
 	movedAt map[string]time.Time
+	// keepersBy are the keepers of each service that was asked for since the last sync.
+	keepersBy map[string][]origin.Keeper
 }
 
 func newFleet(d *directory.Directory, dataCentre string, peers Peers) *fleet {
@@ -203,7 +206,7 @@
 	if !configured && f.synced != nil {
 		f.recordMovesLocked(f.synced.Config, snap.Config, time.Now())
 	}
-	f.synced = snap
+	f.synced, f.keepersBy = snap, map[string][]origin.Keeper{}
 	if !configured {
 		f.setPriors(snap.Config)
 	}
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -106,32 +106,29 @@
 	return r.options.Peers.Keepers()
 }
 
-// keepers returns the keepers beside the servers of a service.
+// keepers returns the keepers beside the servers of a service. The list must not be modified.
 func (f *fleet) keepers(service string) []origin.Keeper {
 	f.sync()
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return keepersBeside(f.synced.Services[service])
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list, ok := f.keepersBy[service]
+	if ok {
+		return list
+	}
+	for _, s := range f.synced.Services[service] {
+		if s.Agent != "" && s.Stage != directory.Plain {
+			list = append(list, origin.Keeper{Addr: s.Agent, Software: s.Software, Leaving: s.Draining})
+		}
+	}
+	f.keepersBy[service] = list
+	return list
 }
 
 // allKeepers returns the keepers beside the servers of each service.
 func (f *fleet) allKeepers() [][]origin.Keeper {
-	f.sync()
-	f.mu.RLock()
-	defer f.mu.RUnlock()
 	var out [][]origin.Keeper
-	for _, servers := range f.synced.Services {
-		out = append(out, keepersBeside(servers))
-	}
-	return out
-}
-
-func keepersBeside(servers []*directory.Server) []origin.Keeper {
-	var out []origin.Keeper
-	for _, s := range servers {
-		if s.Agent != "" && s.Stage != directory.Plain {
-			out = append(out, origin.Keeper{Addr: s.Agent, Software: s.Software, Leaving: s.Draining})
-		}
+	for service := range f.directory.Current().Services {
+		out = append(out, f.keepers(service))
 	}
 	return out
 }
