Entries that start do not grant the retry budget of a window twice (BUDGET)

What callers saw: none on record. After a restart of all entries a service that fails its requests got the further attempts of a window once more.

Cause: the requests and attempts of the window are counted in entries alone. Those that start have counted none and grant the whole budget, slack and ratio, while those before them may have used 0.8 of it in the same window.

Evidence: TestRetryBudgetHoldsAcrossARestartOfAllEntries before the change, 40 requests a second, servers that break each one off from 3.5 s before the kill on: 165 further attempts in 10 s, allowed 130. With the slack alone withheld 135.

Change: an entry that starts while the system has run before grants 0.2 of the budget for one window, what the others left. That also holds for an entry that is restarted alone, which has fewer further attempts for 10 s. Entries do not know whether the others were restarted too.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,6 +16,8 @@
 	// Slack returns the number of further attempts in a window that are allowed
 	// regardless of the number of requests.
 	Slack func() float64
+	// Share, if not nil, returns the fraction of these limits that may be used.
+	Share func() float64
 }
 
 // steps is the number of steps of the sliding window.
@@ -54,7 +56,11 @@
 		requests += b.requests[i]
 		further += b.further[i]
 	}
-	if float64(further+n) > b.options.Ratio*float64(requests)+b.options.Slack() {
+	limit := b.options.Ratio*float64(requests) + b.options.Slack()
+	if b.options.Share != nil {
+		limit *= b.options.Share()
+	}
+	if float64(further+n) > limit {
 		return false
 	}
 	b.further[at] += n
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -204,6 +204,15 @@
 	return max(0, time.Duration(maxRetryShare*float64(time.Until(c.Deadline))))
 }
 
+// budgetShare returns the fraction of the retry budgets that the entries use. Those that were
+// there before a restart of all may have used budgetMargin in the same window.
+func (r *Router) budgetShare() float64 {
+	if !r.options.FirstStart && time.Since(r.started) < r.options.Budget.Window {
+		return 1 - budgetMargin
+	}
+	return budgetMargin
+}
+
 // budget returns the retry budget of a service.
 func (r *Router) budget(service string) *retry.Budget {
 	r.mu.Lock()
@@ -213,8 +222,8 @@
 		r.pruneLocked()
 		o := r.options.Budget
 		b = retry.NewBudget(retry.Options{
-			Window: o.Window, Ratio: budgetMargin * o.Ratio,
-			Slack: func() float64 { return budgetMargin * o.Slack / float64(max(1, r.entries())) },
+			Window: o.Window, Ratio: o.Ratio, Share: r.budgetShare,
+			Slack: func() float64 { return o.Slack / float64(max(1, r.entries())) },
 		})
 		r.budgets[service] = b
 	}
