entry: a test of answers that are resumed after all entries were killed

No fault was found: the decode agent holds what a new entry needs, and the answer goes on at the next token with one prefill. If the agents start again as well, the outcome is unknown and nothing runs again.

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -434,3 +434,41 @@
 		})
 	}
 }
+
+// TestAnswerIsResumedAfterAllEntriesWereKilled guards against state of a resumable answer that
+// entries alone hold. If the agent starts again too, the answer is refused and not begun anew.
+func TestAnswerIsResumedAfterAllEntriesWereKilled(t *testing.T) {
+	for name, agentsToo := range map[string]bool{"entries": false, "entries and agents": true} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(is *is.I, f *fleet) {
+				first := f.sendPrompt("entry-1", "q", true, map[string]string{"Samphire-Resume": "10s"})
+				time.Sleep(midAnswer)
+				before, offset, _ := first.streamed()
+				for _, name := range []string{"entry-1", "entry-2"} {
+					f.entries[name].kill()
+				}
+				first.cancel()
+				<-first.done
+				for _, name := range []string{"decode-1", "decode-2"} {
+					if agentsToo {
+						f.agents[name].kill()
+						f.startAgent(name)
+					}
+				}
+				time.Sleep(2 * time.Second)
+				f.startEntry("entry-1")
+				f.startEntry("entry-2")
+				second := f.send("entry-2", http.MethodGet, "/v1/requests/"+first.header("Samphire-Resume-Ticket"), "", map[string]string{"Last-Event-ID": offset}, nil)
+				<-second.done
+				after, _, complete := second.streamed()
+				is.Equal(complete, !agentsToo)
+				is.Equal(f.prefills("q"), 1)
+				if agentsToo {
+					is.Equal(second.outcome(), "outcome_unknown")
+				} else {
+					is.Equal(before+after, answer("q"))
+				}
+			})
+		})
+	}
+}
