What is known of requests under which servers end outlives all entries

What callers saw: nothing on record. A request, or a prompt part, that is refused since servers end under it was sent to servers again after all entries were killed, and ended three more.

Cause: the evidence was recorded in entries alone.

A keeper holds a blame.Record with the bounds that it has in entries. One that starts again is told all by the entries.

--- a/internal/loadexchange/ends.go
+++ b/internal/loadexchange/ends.go
@@ -1,6 +1,7 @@
 package loadexchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirestream/samphirestream/internal/advisory"
@@ -104,6 +105,9 @@
 	x.sentEvidence.add(x.newEvidence)
 	x.newEvidence = evidence{}
 	to := x.livePeersLocked(time.Now())
+	for _, addr := range x.evidenceKeepers {
+		to[addr] = true
+	}
 	x.mu.Unlock()
 	x.sendAll(out, to)
 }
@@ -133,10 +137,44 @@
 	}
 }
 
-// evidenceKeepers is the number of entries that send all evidence to a new one.
-const evidenceKeepers = 3
+// SetEvidenceKeepers sets the keepers that remember the evidence for the case that all entries
+// end at once. Those that were not set before are told all that is known here, and asked.
+func (x *Exchange) SetEvidenceKeepers(addrs []string) {
+	added := map[string]bool{}
+	x.mu.Lock()
+	for _, addr := range addrs {
+		if !slices.Contains(x.evidenceKeepers, addr) {
+			added[addr] = true
+		}
+	}
+	x.evidenceKeepers = addrs
+	x.mu.Unlock()
+	x.tellEvidence(added)
+	x.sendOnce(&message{AskedEvidence: true}, added)
+}
+
+// tellRestarted sends all evidence to a process that started again, if it is a keeper of it.
+func (x *Exchange) tellRestarted(addr string) {
+	x.mu.Lock()
+	keeps := slices.Contains(x.evidenceKeepers, addr)
+	x.mu.Unlock()
+	if keeps {
+		x.tellEvidence(map[string]bool{addr: true})
+	}
+}
+
+// tellEvidence sends all evidence to some processes.
+func (x *Exchange) tellEvidence(to map[string]bool) {
+	if len(to) > 0 {
+		ends, survived := x.handler.Evidence()
+		x.sendAll(evidence{ends: ends, survived: survived}, to)
+	}
+}
+
+// evidencePeers is the number of entries that send all evidence to a new one.
+const evidencePeers = 3
 
-// sendAllEvidence sends all recorded ends to new peers, if this entry is one of the keepers
+// sendAllEvidence sends all recorded ends to new peers, if this entry is one of those that do so
 // for them. A peer that starts has none.
 func (x *Exchange) sendAllEvidence(to map[string]bool) {
 	chosen := map[string]bool{}
@@ -149,24 +187,27 @@
 				rank++
 			}
 		}
-		if rank < evidenceKeepers {
+		if rank < evidencePeers {
 			chosen[addr] = true
 		}
 	}
 	x.mu.Unlock()
-	if len(chosen) > 0 {
-		ends, survived := x.handler.Evidence()
-		x.sendAll(evidence{ends: ends, survived: survived}, chosen)
-	}
+	x.tellEvidence(chosen)
 }
 
 // applyEvidence passes on what a message reports of servers that ended.
 func (x *Exchange) applyEvidence(m *message, now time.Time) {
+	m.visitEvidence(now, x.handler.AddRemoteEnd, x.handler.AddRemoteSurvived)
+}
+
+// visitEvidence calls end with each server that ended, and survived with each cause that servers
+// have survived.
+func (m *message) visitEvidence(now time.Time, end func(blame.End), survived func(blame.Key, time.Time)) {
 	ago := func(millis int64) time.Time { return now.Add(-time.Duration(max(millis, 0)) * time.Millisecond) }
 	for _, e := range m.Ends {
-		x.handler.AddRemoteEnd(blame.End{Boot: advisory.Boot{ID: e.Server, Started: e.Started}, DataCentre: e.DataCentre, At: ago(e.Age), Requests: e.Requests})
+		end(blame.End{Boot: advisory.Boot{ID: e.Server, Started: e.Started}, DataCentre: e.DataCentre, At: ago(e.Age), Requests: e.Requests})
 	}
 	for _, s := range m.Survived {
-		x.handler.AddRemoteSurvived(s.Cause, ago(s.Age))
+		survived(s.Cause, ago(s.Age))
 	}
 }
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -169,6 +169,8 @@
 	// newEvidence is what was not yet reported of servers that ended, and sentEvidence what
 	// is reported once more.
 	newEvidence, sentEvidence evidence
+	// evidenceKeepers are the addresses of the keepers of the evidence.
+	evidenceKeepers []string
 	// freshnessAsked are the times at which peers were asked for the age of their knowledge,
 	// on the registry's clock, by nonce.
 	freshnessAsked map[uint64]time.Duration
--- a/internal/loadexchange/keeper.go
+++ b/internal/loadexchange/keeper.go
@@ -8,23 +8,25 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/samphirestream/samphirestream/internal/blame"
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/sleep"
 )
 
-// Keeper remembers, beside a backend server, what entries report of streams, and answers
-// entries that ask. It learns of no one else and sends nothing unasked.
+// Keeper remembers, beside a backend server, what entries report of streams and of servers that
+// ended, and answers entries that ask. It learns of no one else and sends nothing unasked.
 type Keeper struct {
 	conn        Conn
 	log         log.Logger
 	incarnation int64 // see message
 	seq         uint64
 	origins     *origin.Table
+	blame       *blame.Record
 }
 
 // NewKeeper returns a keeper that receives nothing until Run is called.
 func NewKeeper(conn Conn, logger log.Logger) *Keeper {
-	return &Keeper{conn: conn, log: logger, incarnation: time.Now().UnixMilli(), origins: origin.NewTable()}
+	return &Keeper{conn: conn, log: logger, incarnation: time.Now().UnixMilli(), origins: origin.NewTable(), blame: blame.NewRecord()}
 }
 
 // Streams returns the number of streams that are remembered.
@@ -62,17 +64,30 @@
 			k.origins.Put(stream, o.origin())
 		}
 	}
+	m.visitEvidence(time.Now(), func(e blame.End) { k.blame.AddEnd(e) }, func(cause blame.Key, at time.Time) {
+		k.blame.AddSurvived(blame.Request{Shared: []blame.Key{cause}}, at)
+	})
 	answer := answerOrigins(m.AskedOrigins, k.origins.Get)
 	if answer == nil {
 		answer = &message{}
 	}
+	k.send(from, answer)
+	if m.AskedEvidence {
+		ends, survived := k.blame.Evidence()
+		for _, part := range (&evidence{ends: ends, survived: survived}).messages(time.Now()) {
+			k.send(from, part)
+		}
+	}
+}
+
+func (k *Keeper) send(to net.Addr, m *message) {
 	k.seq++
-	answer.Keeper, answer.Incarnation, answer.Seq = true, k.incarnation, k.seq
-	b, err := encode(answer)
+	m.Keeper, m.Incarnation, m.Seq = true, k.incarnation, k.seq
+	b, err := encode(m)
 	if err == nil {
-		_, err = k.conn.WriteTo(b, from)
+		_, err = k.conn.WriteTo(b, to)
 	}
 	if err != nil {
-		_ = level.Warn(k.log).Log("msg", "not answered", "to", from.String(), "err", err)
+		_ = level.Warn(k.log).Log("msg", "not answered", "to", to.String(), "err", err)
 	}
 }
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -234,6 +234,8 @@
 	// survived; in messages of evidence only.
 	Ends     []endReport      `cbor:"16,keyasint,omitempty"`
 	Survived []survivedReport `cbor:"17,keyasint,omitempty"`
+	// AskedEvidence asks a keeper for all that it has of these.
+	AskedEvidence bool `cbor:"25,keyasint,omitempty"`
 	// Freshness is about the age of what is known of the registry; in messages to some peers
 	// only.
 	Freshness *freshnessPart `cbor:"18,keyasint,omitempty"`
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -112,8 +112,10 @@
 	for _, o := range m.Origins {
 		x.handler.SetRemoteOrigins(o.origin(), o.Streams)
 	}
+	x.applyEvidence(m, now)
 	if known && former.incarnation != m.Incarnation {
 		x.handler.KeeperRestarted(from)
+		x.tellRestarted(from)
 	}
 }
 
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/blame"
+	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/router"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
@@ -423,3 +424,23 @@
 		is.True(!a.aborted)
 	})
 }
+
+// TestBlameOutlivesAllEntries guards against evidence that entries alone hold: a request that is
+// blamed would end further servers after all entries were killed.
+func TestBlameOutlivesAllEntries(t *testing.T) {
+	withRegion(t, 5, func(t *testing.T, g *region) {
+		is := is.New(t)
+		s := newCrashingServers(g, plainServers, func(c *router.Call) bool { return c.Target == "/safe/x?fatal" })
+		fatal := func(int) *router.Call {
+			c := newCall("/safe/x")
+			c.Target += "?fatal"
+			return c
+		}
+		s.play(2, 30*time.Second, fatal).Wait()
+		crashed := len(s.crashes)
+		is.True(crashed >= 3)
+		g.killAll(func(*directory.Directory) {})
+		s.play(2, 10*time.Second, fatal).Wait()
+		is.Equal(len(s.crashes), crashed)
+	})
+}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -32,6 +32,8 @@
 	TellKeeper(addr string, streams map[origin.Origin][]origin.Key)
 	// AskOrigin asks some peers and keepers what began a stream. It reports whether there are any.
 	AskOrigin(stream origin.Key, keepers []string) bool
+	// SetEvidenceKeepers sets the keepers that remember the evidence.
+	SetEvidenceKeepers(addrs []string)
 	// Keepers returns the number of keepers that answered lately.
 	Keepers() int
 	// ReportEnd reports to all peers that a server ended without a plan, and ReportSurvived when servers
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -54,6 +54,7 @@
 func (*recordingPeers) PublishWaiting(string, []loadexchange.Waiting)     {}
 func (*recordingPeers) PublishSpeeds(string, predict.SpeedSums)           {}
 func (*recordingPeers) ShareServerSpeeds(string)                          {}
+func (*recordingPeers) SetEvidenceKeepers([]string)                       {}
 func (*recordingPeers) TellOrigin(origin.Key, origin.Origin, []string)    {}
 func (*recordingPeers) TellKeeper(string, map[origin.Origin][]origin.Key) {}
 func (*recordingPeers) AskOrigin(origin.Key, []string) bool               { return false }
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -77,12 +77,16 @@
 	return out
 }
 
-// tellNewKeepers tells keepers of the streams that have become theirs with a change of the
-// servers.
+// evidenceKey selects the keepers of what is known of servers that ended: the same for all
+// entries.
+var evidenceKey = origin.KeyOf("evidence")
+
+// tellNewKeepers tells keepers of what has become theirs with a change of the servers.
 func (r *Router) tellNewKeepers() {
 	if r.options.Peers == nil {
 		return
 	}
+	r.options.Peers.SetEvidenceKeepers(origin.KeepersOf(evidenceKey, "", slices.Concat(r.fleet.allKeepers()...)))
 	news := r.relayed.reassign(func(k origin.Key, s relayedStream) []string {
 		return origin.KeepersOf(k, s.origin.Software, r.fleet.keepers(s.origin.Service))
 	})
