--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -84,7 +84,7 @@
 // service: the shares of the route may have changed since. The refusal is not nil if the stream
 // can not go on.
 func (x *exchange) findOrigin(ctx context.Context, c *directory.Config) *apierror.Error {
-	if x.call.LastEvent == "" || !x.route.Resumable {
+	if x.call.LastEvent == "" || !x.route.Resumable || x.route.Kind != directory.Streaming {
 		return nil
 	}
 	o, known := x.router.origins.Get(x.stream())
