--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -167,12 +167,15 @@
 	// the time at which each was last seen. Those that were seen at syncedAt are present.
 	software map[string]map[string]time.Time
 	syncedAt time.Time
+	// movedAt are the times since which routes have the services that they have, by name; routes
+	// are missing that have had no others since the start.
+	movedAt map[string]time.Time
 	// keepersBy are the keepers of each service that was asked for since the last sync.
 	keepersBy map[string][]origin.Keeper
 }
 
 func newFleet(d *directory.Directory, dataCentre string, peers Peers) *fleet {
-	return &fleet{directory: d, dataCentre: dataCentre, peers: peers, backends: map[string]*backend{}, advice: advisory.NewTable(), software: map[string]map[string]time.Time{}, speeds: map[string]*predict.Speeds{}, servers: map[string]*predict.Servers{}}
+	return &fleet{directory: d, dataCentre: dataCentre, peers: peers, backends: map[string]*backend{}, advice: advisory.NewTable(), software: map[string]map[string]time.Time{}, movedAt: map[string]time.Time{}, speeds: map[string]*predict.Speeds{}, servers: map[string]*predict.Servers{}}
 }
 
 // memoryShare is the fraction of an engine's memory that is planned with. The rest
@@ -200,6 +203,9 @@
 	defer f.mu.Unlock()
 	f.recordSoftwareLocked(snap, time.Now())
 	configured := f.synced != nil && f.synced.Config == snap.Config
+	if !configured && f.synced != nil {
+		f.recordMovesLocked(f.synced.Config, snap.Config, time.Now())
+	}
 	f.synced, f.keepersBy = snap, map[string][]origin.Keeper{}
 	if !configured {
 		f.setPriors(snap.Config)
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -10,7 +10,7 @@
 
 // relayedStream is a resumable stream that this entry relays.
 type relayedStream struct {
-	service, software string
+	origin origin.Origin
 	// keepers are the addresses of those that were told of it.
 	keepers []string
 }
@@ -41,25 +41,25 @@
 	return len(l.streams)
 }
 
-// keptBy returns the streams, by version, of which a keeper was told.
-func (l *relayed) keptBy(addr string) map[string][]origin.Key {
+// keptBy returns the streams, by origin, of which a keeper was told.
+func (l *relayed) keptBy(addr string) map[origin.Origin][]origin.Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := map[string][]origin.Key{}
+	out := map[origin.Origin][]origin.Key{}
 	for k, s := range l.streams {
 		if slices.Contains(s.keepers, addr) {
-			out[s.software] = append(out[s.software], k)
+			out[s.origin] = append(out[s.origin], k)
 		}
 	}
 	return out
 }
 
 // reassign replaces the keepers of all streams, and returns for each new one the streams by
-// version.
-func (l *relayed) reassign(keepersOf func(k origin.Key, s relayedStream) []string) map[string]map[string][]origin.Key {
+// origin.
+func (l *relayed) reassign(keepersOf func(k origin.Key, s relayedStream) []string) map[string]map[origin.Origin][]origin.Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := map[string]map[string][]origin.Key{}
+	out := map[string]map[origin.Origin][]origin.Key{}
 	for k, s := range l.streams {
 		former := s.keepers
 		s.keepers = keepersOf(k, s)
@@ -69,22 +69,26 @@
 				continue
 			}
 			if out[addr] == nil {
-				out[addr] = map[string][]origin.Key{}
+				out[addr] = map[origin.Origin][]origin.Key{}
 			}
-			out[addr][s.software] = append(out[addr][s.software], k)
+			out[addr][s.origin] = append(out[addr][s.origin], k)
 		}
 	}
 	return out
 }
 
-// tellNewKeepers tells keepers of the streams that have become theirs with a change of the
-// servers.
+// evidenceKey selects the keepers of what is known of servers that ended: the same for all
+// entries.
+var evidenceKey = origin.KeyOf("evidence")
+
+// tellNewKeepers tells keepers of what has become theirs with a change of the servers.
 func (r *Router) tellNewKeepers() {
 	if r.options.Peers == nil {
 		return
 	}
+	r.options.Peers.SetEvidenceKeepers(origin.KeepersOf(evidenceKey, "", slices.Concat(r.fleet.allKeepers()...)))
 	news := r.relayed.reassign(func(k origin.Key, s relayedStream) []string {
-		return origin.KeepersOf(k, s.software, r.fleet.keepers(s.service))
+		return origin.KeepersOf(k, s.origin.Software, r.fleet.keepers(s.origin.Service))
 	})
 	for addr, streams := range news {
 		r.options.Peers.TellKeeper(addr, streams)
@@ -123,3 +127,12 @@
 	f.keepersBy[service] = list
 	return list
 }
+
+// allKeepers returns the keepers beside the servers of each service.
+func (f *fleet) allKeepers() [][]origin.Keeper {
+	var out [][]origin.Keeper
+	for service := range f.directory.Current().Services {
+		out = append(out, f.keepers(service))
+	}
+	return out
+}
