--- a/internal/origin/keepers_test.go
+++ b/internal/origin/keepers_test.go
@@ -54,3 +54,29 @@
 		})
 	}
 }
+
+// TestKeepersAreFoundAmongNewServers guards against streams whose keepers are not asked since
+// servers of their version have registered while all entries were down.
+func TestKeepersAreFoundAmongNewServers(t *testing.T) {
+	v1, v2 := versionKeepers("v1", 9, false), versionKeepers("v2", 30, false)
+	for name, tc := range map[string]struct{ told, asked []Keeper }{
+		"a release goes on, and the former version leaves": {slices.Concat(v1, v2[:1]), v2[:9]},
+		"a release grows":                 {slices.Concat(v1, v2[:5]), slices.Concat(v1, v2)},
+		"a release grows to today's size": {slices.Concat(v1[:5], v2[:4]), slices.Concat(v1[:2], v2[:9])},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const streams = 1000
+			lost := 0
+			for i := range streams {
+				k := KeyOf(fmt.Sprint("stream", i))
+				told, asked := KeepersOf(k, "v2", tc.told), Asked(k, tc.asked)
+				if !slices.ContainsFunc(told, func(addr string) bool { return slices.Contains(asked, addr) }) {
+					lost++
+				}
+			}
+			t.Log(lost, "of", streams, "not found")
+			is.Equal(lost, 0)
+		})
+	}
+}
