Entries ask for the version of each stream that they do not know (ORDER)

An entry with one version in its registry took it without asking, although others had the stream recorded: after a shorter time limit of the route, beside an entry that the registry did not reach, within the first read after a start, and after a pause (TestTheOnlyVersionDoesNotOutweighARecord).

--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -87,7 +87,7 @@
 	software, known := x.router.origins.Get(x.stream())
 	x.knownBy = originRecorded
 	only := len(versions) == 1 && x.router.fleet.seenAllFor(x.route.Timeout)
-	if !known && !only {
+	if !known { // also with one version: what this entry saw of others may not be all
 		software, known = x.askOrigin(ctx)
 		x.knownBy = originAsked
 	}
