Reports to keepers are divided into datagrams, and keepers do not answer each other

A report on more streams than a datagram holds was not sent at all (TestKeepersAreToldOfManyStreams). A keeper answered any message, so that two of them answered each other without end (TestKeepersDoNotAnswerEachOther).

--- a/internal/loadexchange/keeper.go
+++ b/internal/loadexchange/keeper.go
@@ -57,6 +57,9 @@
 // apply records what an entry reports, and answers it. The answer to a report tells the entry
 // that this keeper runs, and since when.
 func (k *Keeper) apply(from net.Addr, m *message) {
+	if m.Keeper {
+		return // an answer; two keepers would answer each other without end
+	}
 	for _, o := range m.Origins {
 		for _, stream := range o.Streams {
 			k.origins.Put(stream, o.Software)
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -1,6 +1,7 @@
 package loadexchange
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,9 @@
 	// originPeersAsked is the number of peers that are asked: their view of the peers may differ
 	// from that of the entry that reported to its own.
 	originPeersAsked = 2 * originPeers
+	// maxReported is the maximum number of streams in one report, of at most 9 bytes each: a
+	// message larger than maxDatagram is not sent.
+	maxReported = 500
 )
 
 // originReport are streams that were begun alike.
@@ -31,11 +35,12 @@
 
 // TellKeeper reports to one keeper by which software streams were begun.
 func (x *Exchange) TellKeeper(addr string, streams map[string][]origin.Key) {
-	m := &message{}
 	for software, list := range streams {
-		m.Origins = append(m.Origins, originReport{Software: software, Streams: list})
+		for part := range slices.Chunk(list, maxReported) {
+			m := &message{Origins: []originReport{{Software: software, Streams: part}}}
+			x.sendOnce(m, map[string]bool{addr: true})
+		}
 	}
-	x.sendOnce(m, map[string]bool{addr: true})
 }
 
 // AskOrigin asks the peers that probably received it, and keepers, by which software a stream
