--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -65,9 +65,9 @@
 			if gaps.event(time.Now(), bytes.Count(pending[:whole], eventEnd)) {
 				x.observeStep(b, gaps.median())
 			}
-			watch.sendingSince.Store(time.Now().UnixNano())
+			watch.beginSending()
 			err := x.sendEvents(b, reply, pending[:whole])
-			watch.sendingSince.Store(0)
+			watch.endSending()
 			if err != nil {
 				x.log("caller gone", "events", x.events, "err", err)
 				return nil
@@ -228,8 +228,9 @@
 type stallWatch struct {
 	events chan struct{}
 	done   chan struct{}
-	// sendingSince is the time, in Unix nanoseconds, since which the relay sends to the caller,
-	// and so does not read the stream; 0 while it does not.
+	began  time.Time
+	// sendingSince is the time after began, in nanoseconds, since which the relay sends to the
+	// caller, and so does not read the stream; 0 while it does not. The time of day may jump.
 	sendingSince atomic.Int64
 }
 
@@ -237,10 +238,14 @@
 // coincides with the watch.
 const slowSend = 10 * time.Millisecond
 
+func (w *stallWatch) beginSending() { w.sendingSince.Store(max(int64(time.Since(w.began)), 1)) }
+
+func (w *stallWatch) endSending() { w.sendingSince.Store(0) }
+
 // waitsForCaller reports whether the relay does not read the stream since its caller is slow.
 func (w *stallWatch) waitsForCaller(now time.Time) bool {
 	since := w.sendingSince.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) >= slowSend
+	return since != 0 && now.Sub(w.began)-time.Duration(since) >= slowSend
 }
 
 // watchStall probes the server when its stream stalls. If the server is unreachable,
@@ -249,7 +254,7 @@
 // on nothing any more. It is then cancelled only when that leaves just enough time to go on
 // elsewhere before the caller gives up.
 func (x *exchange) watchStall(b *backend, cancel context.CancelFunc) *stallWatch {
-	w := &stallWatch{events: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &stallWatch{events: make(chan struct{}, 1), done: make(chan struct{}), began: time.Now()}
 	if gap := x.route.GapTarget; gap > 0 {
 		go w.run(x, b, time.Duration(stallFactor*float64(gap)), cancel)
 	}
