--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -1,6 +1,7 @@
 package loadexchange
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,9 @@
 	// originPeersAsked is the number of peers that are asked: their view of the peers may differ
 	// from that of the entry that reported to its own.
 	originPeersAsked = 2 * originPeers
+	// maxReported is the maximum number of streams in one report, of at most 9 bytes each: a
+	// message larger than maxDatagram is not sent.
+	maxReported = 500
 )
 
 // originReport are streams that were begun alike.
@@ -41,14 +45,15 @@
 
 // TellKeeper reports to one keeper what began streams.
 func (x *Exchange) TellKeeper(addr string, streams map[origin.Origin][]origin.Key) {
-	m := &message{}
 	for o, list := range streams {
-		m.Origins = append(m.Origins, newOriginReport(o, list...))
+		for part := range slices.Chunk(list, maxReported) {
+			x.sendOnce(&message{Origins: []originReport{newOriginReport(o, part...)}}, map[string]bool{addr: true})
+		}
 	}
-	x.sendOnce(m, map[string]bool{addr: true})
 }
 
-// AskOrigin asks the peers that probably received it, and keepers, what began a stream. Their answers go to the handler. It reports whether anybody was asked.
+// AskOrigin asks the peers that probably received it, and keepers, what began a stream. Their
+// answers go to the handler. It reports whether anybody was asked.
 func (x *Exchange) AskOrigin(k origin.Key, keepers []string) bool {
 	to := x.originPeersOf(k, originPeersAsked, keepers)
 	x.sendOnce(&message{AskedOrigins: []origin.Key{k}}, to)
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -74,6 +74,7 @@
 	}
 	keepers := origin.KeepersOf(k, x.software, r.fleet.keepers(x.service))
 	r.relayed.begin(k, relayedStream{origin: o, keepers: keepers})
+	x.relayed = true
 	r.options.Peers.TellOrigin(k, o, keepers)
 }
 
@@ -87,48 +88,45 @@
 	if x.call.LastEvent == "" || !x.route.Resumable || x.route.Kind != directory.Streaming {
 		return nil
 	}
-	o, known := x.router.origins.Get(x.stream())
-	x.knownBy = originRecorded
-	if !known && c.HasEngine(x.service) {
-		o, known = x.discoverOrigin(ctx)
-		x.router.count.takenUp[x.knownBy].Add(1)
-		if !known {
-			x.warn("stream of unknown origin", "takes_up", x.call.Resumes)
-			return apierror.NotRun(apierror.KindUnavailable, "it is not known which version of the servers began the stream", restartRemedy)
-		}
-	} else if known {
-		x.router.count.takenUp[x.knownBy].Add(1)
-	}
-	if !known {
-		x.knownBy = "" // plain services have no versions
-		return nil
+	o, source := x.originOf(ctx, c)
+	if source == "" {
+		return nil // plain services have no versions
 	}
-	if o.Service != "" && !x.route.Sends(o.Service) {
+	x.knownBy = source
+	x.router.count.takenUp[source].Add(1)
+	switch {
+	case source == originUnknown:
+		x.warn("stream of unknown origin", "takes_up", x.call.Resumes)
+		return apierror.NotRun(apierror.KindUnavailable, "it is not known which version of the servers began the stream", restartRemedy)
+	case o.Service != "" && !x.route.Sends(o.Service):
 		x.warn("the route no longer has the service that began the stream", "takes_up", x.call.Resumes, "service", o.Service)
 		return apierror.NotRun(apierror.KindUnavailable, "the service that began the stream no longer serves its route", restartRemedy)
-	}
-	if o.Service != "" {
+	case o.Service != "":
 		x.service = o.Service
 	}
 	x.software, x.begun = o.Software, true
 	return nil
 }
 
-// discoverOrigin finds out what began a stream that is not recorded here.
-func (x *exchange) discoverOrigin(ctx context.Context) (o origin.Origin, known bool) {
+// originOf returns what began the stream of the call, and how that became known; "" for a stream
+// of a plain service.
+func (x *exchange) originOf(ctx context.Context, c *directory.Config) (origin.Origin, originSource) {
+	if o, ok := x.router.origins.Get(x.stream()); ok {
+		return o, originRecorded
+	}
+	if !c.HasEngine(x.service) {
+		return origin.Origin{}, ""
+	}
+	// Others are asked first: what this entry has seen of the servers may not be all.
+	if o, ok := x.askOrigin(ctx); ok {
+		return o, originAsked
+	}
 	f, within := x.router.fleet, x.route.Timeout
-	versions := f.softwareWithin(x.service, within)
 	// Without versions, servers of any may appear while the call waits.
-	if len(versions) == 1 && f.seenAllFor(within) && f.unmovedFor(x.route, within) {
-		x.knownBy = originOnly
-		return origin.Origin{Service: x.service, Software: versions[0]}, true
-	}
-	if o, known = x.askOrigin(ctx); known {
-		x.knownBy = originAsked
-		return o, true
+	if versions := f.softwareWithin(x.service, within); len(versions) == 1 && f.seenAllFor(within) && f.unmovedFor(x.route, within) {
+		return origin.Origin{Service: x.service, Software: versions[0]}, originOnly
 	}
-	x.knownBy = originUnknown
-	return o, false
+	return origin.Origin{}, originUnknown
 }
 
 // askOrigin asks the other entries, and the keepers beside the servers of all services, what
