--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -23,6 +23,9 @@
 	// askedKeepers is the number of keepers of each version that are asked: the servers may
 	// have changed since the stream was recorded.
 	askedKeepers = 6
+	// maxAsked is the number of keepers that are asked if none of those has answered: those of a
+	// stream may not be among them after many servers have registered while all entries were down.
+	maxAsked = 64
 )
 
 // KeepersOf returns the keepers of a stream that a version of software began. Those beside
@@ -51,6 +54,17 @@
 	return out
 }
 
+// AskedNext returns the keepers that are asked if none of Asked has answered.
+func AskedNext(stream Key, all []Keeper) []string {
+	addrs := make([]string, len(all))
+	for i, k := range all {
+		addrs[i] = k.Addr
+	}
+	return membership.TopByRendezvous(rendezvousKey(stream), addrs, maxAsked)
+}
+
+func rendezvousKey(stream Key) string { return strconv.FormatUint(uint64(stream), 36) }
+
 // choose returns the first n keepers in the order of a stream (rendezvous hashing): those
 // beside servers of its version, and then the others, each time those that stay first.
 func choose(stream Key, software string, all []Keeper, n int) []string {
@@ -70,7 +84,7 @@
 		if len(out) == n {
 			break
 		}
-		out = append(out, membership.TopByRendezvous(strconv.FormatUint(uint64(stream), 36), addrs, n-len(out))...)
+		out = append(out, membership.TopByRendezvous(rendezvousKey(stream), addrs, n-len(out))...)
 	}
 	return out
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -46,12 +46,14 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{present: map[Key]Origin{}, rotated: time.Now()} }
 
-// Put records the origin of a stream. It reports whether the stream was not recorded. The
-// first record stays: it is made with the first event, and reports may overtake each other.
+// Put records the origin of a stream, and keeps it for another Retention if it is recorded. It
+// reports whether it was not. The first record stays: it is made with the first event, and reports
+// may overtake each other.
 func (t *Table) Put(k Key, o Origin) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, ok := t.get(k); ok {
+	if known, ok := t.get(k); ok {
+		t.present[k] = known
 		return false
 	}
 	t.present[k] = o
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -14,15 +14,18 @@
 
 // Timing of streams that go on at one version of the servers' software.
 const (
-	// askInterval is the time after which the other entries are asked once more by which
-	// software a stream was begun, since datagrams are lost, and askTimeout that after which
-	// nobody is taken to know.
+	// askInterval is the time after which the other entries, and more keepers, are asked what
+	// began a stream, since datagrams are lost, and askTimeout that after which nobody is taken
+	// to know.
 	askInterval = 40 * time.Millisecond
 	askTimeout  = 100 * time.Millisecond
 	// pinnedTargets is the time, in multiples of the route's target for the first event, for
 	// which a stream waits for the servers that may continue it. Callers give up a stream
 	// that stands still for longer.
 	pinnedTargets = 2
+	// refreshInterval is the interval at which the streams that are relayed are recorded again,
+	// so that long ones are remembered for some time after they break off.
+	refreshInterval = origin.Retention / 2
 )
 
 // originSource is how the version that began a stream became known.
@@ -123,7 +126,7 @@
 	}
 	f, within := x.router.fleet, x.route.Timeout
 	// Without versions, servers of any may appear while the call waits.
-	if versions := f.softwareWithin(x.service, within); len(versions) == 1 && f.seenAllFor(within) && f.unmovedFor(x.route, within) {
+	if versions := f.softwareWithin(x.service, within); len(versions) == 1 && within <= softwareTTL && f.seenAllFor(within) && f.unmovedFor(x.route, within) {
 		return origin.Origin{Service: x.service, Software: versions[0]}, originOnly
 	}
 	return origin.Origin{}, originUnknown
@@ -136,16 +139,17 @@
 	if peers == nil {
 		return o, false
 	}
-	var keepers []string
+	var keepers, next []string
 	for _, beside := range x.router.fleet.allKeepers() {
 		keepers = append(keepers, origin.Asked(k, beside)...)
+		next = append(next, origin.AskedNext(k, beside)...)
 	}
 	if !peers.AskOrigin(k, keepers) {
 		return o, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, keepers) })
+	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, next) })
 	defer again.Stop()
 	return x.router.origins.Wait(ctx, k)
 }
@@ -191,6 +195,8 @@
 // FollowServers records the versions of the servers with each change until stop is closed, and
 // tells new keepers of the streams that this entry relays.
 func (r *Router) FollowServers(stop <-chan struct{}) {
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
 	for {
 		changed := r.directory.Changed()
 		r.fleet.sync()
@@ -198,6 +204,8 @@
 		select {
 		case <-stop:
 			return
+		case <-refresh.C:
+			r.refreshRelayed()
 		case <-changed:
 		}
 	}
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -59,6 +60,12 @@
 	return len(l.streams)
 }
 
+func (l *relayed) all() map[origin.Key]relayedStream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.streams)
+}
+
 // keptBy returns the streams, by origin, of which a keeper was told.
 func (l *relayed) keptBy(addr string) map[origin.Origin][]origin.Key {
 	l.mu.Lock()
@@ -113,6 +120,16 @@
 	}
 }
 
+// refreshRelayed records the streams that this entry relays again, here and elsewhere.
+func (r *Router) refreshRelayed() {
+	for k, s := range r.relayed.all() {
+		r.origins.Put(k, s.origin)
+		if r.options.Peers != nil {
+			r.options.Peers.TellOrigin(k, s.origin, s.keepers)
+		}
+	}
+}
+
 // KeeperRestarted tells a keeper that has started again of the streams that it kept.
 func (r *Router) KeeperRestarted(addr string) {
 	if streams := r.relayed.keptBy(addr); len(streams) > 0 {
--- a/internal/router/retention_test.go
+++ b/internal/router/retention_test.go
@@ -45,6 +45,34 @@
 	})
 }
 
+// TestStreamsAreRememberedWhileTheyRun guards against streams that outlive their records.
+func TestStreamsAreRememberedWhileTheyRun(t *testing.T) {
+	withRegion(t, 5, func(t *testing.T, g *region) {
+		is := is.New(t)
+		versions := map[string]string{"d1": "v1", "d2": "v2", "d3": "v2"}
+		g.setSoftware(versions)
+		g.servers.setAll(decodeServers, paced(6000, 100*time.Millisecond))
+		for _, d := range g.directories {
+			setResumableTimeout(d, 10*time.Minute)
+		}
+		ctx, cut := context.WithTimeout(context.Background(), 5*time.Minute)
+		defer cut()
+		c := newCall("/resumable/x")
+		c.Deadline = time.Now().Add(10 * time.Minute)
+		first := &cutAnswer{ctx: ctx}
+		g.entries[0].Serve(ctx, c, first)
+		begunAt := g.servers.recorded()
+		g.killAll(func(*directory.Directory) {})
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		next := &cutAnswer{ctx: ctx}
+		g.entries[1].Serve(ctx, takeUp(c, first.body.String()), next)
+		is.Equal(next.starts, 1)
+		wentOnAt := g.servers.recorded()
+		is.Equal(versions[wentOnAt[len(wentOnAt)-1]], versions[begunAt[len(begunAt)-1]])
+	})
+}
+
 // TestStreamsOfAMovedRouteAreNotMixed guards against streams that go on at another service
 // whose servers have the same version, after a configuration has moved the route.
 func TestStreamsOfAMovedRouteAreNotMixed(t *testing.T) {
