--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -321,12 +321,19 @@
 	defer d.mu.Unlock()
 	u := d.update()
 	effects := make([]bool, len(changes))
+	added := map[string]bool{}
 	for i, c := range changes {
 		if c.Put != nil {
+			if _, ok := u.get(c.Put.ID); !ok {
+				added[c.Put.ID] = true
+			}
 			effects[i] = d.put(u, c.Put)
 			continue
 		}
 		effects[i] = d.remove(u, c.ID, c.Keep)
+		if _, ok := u.get(c.ID); !ok && added[c.ID] {
+			u.next.MissedUntil = time.Now() // it has been in no snapshot
+		}
 	}
 	u.publish()
 	return effects
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -150,8 +150,8 @@
 	directory  *directory.Directory
 	dataCentre string
 	peers      Peers // nil for a single entry
-	// startedAt is the start of this process; zero if no call was served before it.
-	startedAt time.Time
+	// firstStart is set if no call was served before the start of this process.
+	firstStart bool
 
 	mu       sync.RWMutex // guards the fields below, but not the content of speeds
 	backends map[string]*backend
@@ -167,6 +167,8 @@
 	// the time at which each was last seen. Those that were seen at syncedAt are present.
 	software map[string]map[string]time.Time
 	syncedAt time.Time
+	// firstServers is the time at which this process first knew a server; zero before.
+	firstServers time.Time
 	// movedAt are the times since which routes have the services that they have, by name; routes
 	// are missing that have had no others since the start.
 	movedAt map[string]time.Time
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -124,9 +124,10 @@
 	if o, ok := x.askOrigin(ctx); ok {
 		return o, originAsked
 	}
-	f, within := x.router.fleet, x.route.Timeout
-	// Without versions, servers of any may appear while the call waits.
-	if versions := f.softwareWithin(x.service, within); len(versions) == 1 && within <= softwareTTL && f.seenAllFor(within) && f.unmovedFor(x.route, within) {
+	// The time limit of the route may have been longer when the stream began. Without versions,
+	// servers of any may appear while the call waits.
+	f := x.router.fleet
+	if versions := f.softwareWithin(x.service, softwareTTL); len(versions) == 1 && x.route.Timeout <= softwareTTL && f.seenAllFor(softwareTTL) && f.unmovedFor(x.route, softwareTTL) {
 		return origin.Origin{Service: x.service, Software: versions[0]}, originOnly
 	}
 	return origin.Origin{}, originUnknown
@@ -185,7 +186,14 @@
 // seenAllFor reports whether this process has seen all registrations for a time. Otherwise a
 // version may have begun streams and left before this process knew it.
 func (f *fleet) seenAllFor(d time.Duration) bool {
-	since := f.startedAt
+	f.mu.RLock()
+	since := f.firstServers
+	f.mu.RUnlock()
+	if f.firstStart {
+		since = time.Time{} // no stream was begun before
+	} else if since.IsZero() {
+		return false
+	}
 	if gap := f.directory.Current().MissedUntil; gap.After(since) {
 		since = gap
 	}
@@ -222,6 +230,9 @@
 		f.markSoftwareLocked(f.synced, now.Add(-1))
 	}
 	f.syncedAt = now
+	if f.firstServers.IsZero() && len(snap.Servers) > 0 {
+		f.firstServers = now
+	}
 	f.markSoftwareLocked(snap, now)
 	for _, versions := range f.software {
 		for v, seen := range versions {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,9 +118,7 @@
 		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, maxWaits: map[string]*recentMax{}, count: newCounters(), started: time.Now(),
 		origins: origin.NewTable(), relayed: newRelayed(), blame: blame.NewRecord(), trials: semaphore.NewWeighted(1),
 	}
-	if !o.FirstStart {
-		r.fleet.startedAt = r.started
-	}
+	r.fleet.firstStart = o.FirstStart
 	if r.quotas = o.Quotas; r.quotas == nil {
 		r.quotas = quota.NewTable(time.Now(), true)
 	}
