--- a/test/soak/advice_test.go
+++ b/test/soak/advice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -199,24 +200,25 @@
 	return n
 }
 
-// mixedStreams returns the streams with events of two versions of software.
-func mixedStreams(results []result) []string {
-	versions := map[string]map[string]bool{}
+// brokenStreams returns the streams whose parts, as the caller joins them, are not the events of
+// one version of software from the first on, each once and in order.
+func brokenStreams(results []result) []string {
+	joined, whole := map[string]string{}, map[string]string{}
 	for _, r := range results {
-		if r.stream == "" {
+		if r.stream == "" || r.status != http.StatusOK {
 			continue
 		}
-		if versions[r.stream] == nil {
-			versions[r.stream] = map[string]bool{}
-		}
-		for v := range softwareOf(r.body) {
-			versions[r.stream][v] = true
+		if joined[r.stream] == "" {
+			whole[r.stream] = wholeStream(result{id: r.stream, events: r.events, body: r.body})
 		}
+		joined[r.stream] += r.body[:strings.LastIndex(eventEnd+r.body, eventEnd)]
 	}
 	var out []string
-	for stream, v := range versions {
-		if len(v) > 1 {
-			out = append(out, fmt.Sprintf("stream %s has events of %d versions of software", stream, len(v)))
+	for stream, parts := range joined {
+		if versions := len(softwareOf(parts)); versions > 1 {
+			out = append(out, fmt.Sprintf("stream %s has events of %d versions of software", stream, versions))
+		} else if !strings.HasPrefix(whole[stream], parts) {
+			out = append(out, fmt.Sprintf("stream %s has the events %s", stream, parts))
 		}
 	}
 	return out
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -25,6 +25,8 @@
 	proven   bool // that a server ran this request
 	entry    int
 	sent     time.Time
+	ended    time.Time
+	events   int // that a whole stream has
 	// stream is the ID of the request that began the stream, and after the last event that
 	// the caller had; "" and 0 for other requests.
 	stream string
@@ -53,20 +55,15 @@
 // paths holds a path of each kind of route.
 var paths = []string{"/once/x", "/safe/x", "/stream/x", "/resumable/x"}
 
-// run sends requests from n callers until ctx is done and the last ones have ended.
-func (c *callers) run(ctx context.Context, seed uint64, n int) {
+// run sends requests from n callers until ctx is done and the last ones have ended. Each result
+// of a first request is passed to takeUp.
+func (c *callers) run(ctx context.Context, seed uint64, n int, takeUp func(*rand.Rand, result)) {
 	var wg sync.WaitGroup
 	for i := range n {
 		wg.Go(func() {
 			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
 			for ctx.Err() == nil {
-				r := c.callWithKey(rnd)
-				for range maxTakeUps {
-					if !r.broken() {
-						break
-					}
-					r = c.takeUp(rnd.IntN(len(c.fleet.entries)), r)
-				}
+				takeUp(rnd, c.callWithKey(rnd))
 				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 			}
 		})
@@ -80,12 +77,27 @@
 // maxTakeUps is the number of times that a caller takes up a stream that broke off.
 const maxTakeUps = 2
 
+// takeUpAtOnce takes up a stream that broke off at any entry.
+func (c *callers) takeUpAtOnce(rnd *rand.Rand, r result) {
+	for i := 0; i < maxTakeUps && r.broken(); i++ {
+		r = c.takeUp(rnd.IntN(len(c.fleet.entries)), r)
+	}
+}
+
 // broken reports whether a stream broke off that the caller may take up.
 func (r *result) broken() bool { return r.stream != "" && r.status == http.StatusOK && !r.complete }
 
-// takeUp sends a request that takes up the stream of a former one.
+// lastEvent is the number of the last event that the caller received whole.
+func (r *result) lastEvent() int {
+	if r.status != http.StatusOK {
+		return r.after
+	}
+	return r.after + strings.Count(r.body, eventEnd)
+}
+
+// takeUp sends a request that takes up the stream of a former one after its last whole event.
 func (c *callers) takeUp(entry int, former result) result {
-	return c.send(result{path: former.path, entry: entry, organisation: former.organisation, key: former.key, stream: former.stream, after: former.after + strings.Count(former.body, "id: ")})
+	return c.send(result{path: former.path, entry: entry, organisation: former.organisation, key: former.key, stream: former.stream, after: former.lastEvent()})
 }
 
 // callWithKey sends a request with a random path and key to a random entry.
@@ -103,7 +115,7 @@
 func (c *callers) send(out result) result {
 	c.mu.Lock()
 	c.next++
-	out.id, out.sent = fmt.Sprintf("%s-%d", c.fleet.name, c.next), time.Now()
+	out.id, out.sent, out.events = fmt.Sprintf("%s-%d", c.fleet.name, c.next), time.Now(), c.fleet.shape.eventCount
 	c.mu.Unlock()
 	id, path, entry := out.id, out.path, out.entry
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
@@ -120,7 +132,7 @@
 	c.fleet.history.expect(id, out.organisation)
 	stated := standin.CallerRequest{ID: id, Key: out.key, Deadline: requestTimeout, Resumes: out.stream, LastEvent: out.after}
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
-		stated.PromptTokens, stated.MaxTokens = promptTokens, eventCount*eventTokens
+		stated.PromptTokens, stated.MaxTokens = promptTokens, out.events*eventTokens
 		stated.Parts = []string{commonPart, id}
 		if out.part != "" {
 			stated.Parts = []string{commonPart, out.part, id}
@@ -137,6 +149,7 @@
 		b, err := io.ReadAll(bufio.NewReader(resp.Body))
 		out.body, out.complete = string(b), err == nil
 	}
+	out.ended = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.results = append(c.results, out)
@@ -167,7 +180,7 @@
 	for _, broken := range c.fleet.fatal.judge(c.results) {
 		t.Error(broken)
 	}
-	for _, broken := range mixedStreams(c.results) {
+	for _, broken := range brokenStreams(c.results) {
 		t.Error(broken)
 	}
 	for _, broken := range c.fleet.keys.judge(c.results, h) {
@@ -197,11 +210,11 @@
 // wholeStream returns the events of a complete answer, by the software that made the first.
 func wholeStream(r result) string {
 	software := ""
-	for v := range softwareOf(strings.SplitAfter(r.body, "\n\n")[0]) {
+	for v := range softwareOf(strings.SplitAfter(r.body, eventEnd)[0]) {
 		software = v
 	}
 	whole := ""
-	for k := r.after + 1; k <= eventCount; k++ {
+	for k := r.after + 1; k <= r.events; k++ {
 		whole += event(cmp.Or(r.stream, r.id), k, software)
 	}
 	return whole
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -65,9 +65,31 @@
 	}
 }
 
-func TestMixedStreamsAreFound(t *testing.T) {
-	is := is.New(t)
-	first := result{id: "a", stream: "a", body: event("a", 1, "v1")}
-	is.Equal(len(mixedStreams([]result{first, {id: "b", stream: "a", after: 1, body: event("a", 2, "v1")}})), 0)
-	is.Equal(len(mixedStreams([]result{first, {id: "b", stream: "a", after: 1, body: event("a", 2, "v2")}})), 1)
+// TestBrokenStreamsAreFound joins parts of streams as callers do.
+func TestBrokenStreamsAreFound(t *testing.T) {
+	one, two := event("a", 1, "v1"), event("a", 2, "v1")
+	for name, tc := range map[string]struct {
+		parts  []string
+		broken bool
+	}{
+		"one part":              {[]string{one + two}, false},
+		"taken up":              {[]string{one, two}, false},
+		"cut within an event":   {[]string{one + two[:10], two}, false},
+		"nothing was received":  {[]string{"", one + two}, false},
+		"two versions":          {[]string{one, event("a", 2, "v2")}, true},
+		"an event missing":      {[]string{one, event("a", 3, "v1")}, true},
+		"an event twice":        {[]string{one, one + two}, true},
+		"going back":            {[]string{one + two, one}, true},
+		"of another stream":     {[]string{one, event("b", 2, "v1")}, true},
+		"versions in one part":  {[]string{one + event("a", 2, "v2")}, true},
+		"the first one missing": {[]string{two}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var results []result
+			for _, body := range tc.parts {
+				results = append(results, result{id: "a", stream: "a", status: 200, events: usual.eventCount, body: body})
+			}
+			is.New(t).Equal(len(brokenStreams(results)) > 0, tc.broken)
+		})
+	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -64,6 +64,7 @@
 	readyPort   = 20_002
 	firstPort   = 20_010 // of the setting internal_ports
 	lastPort    = 20_011
+	serversPort = 20_020 // of the first server; each has its machine's IP address
 )
 
 var samphired string
@@ -86,26 +87,52 @@
 	os.Exit(code)
 }
 
-// entry is the process of one entry, which may be started again.
+// process is a process of the system, which may be started again.
+type process struct {
+	fleet        *fleet
+	name, ip     string
+	arguments    []string
+	settingsFile string
+	cmd          *exec.Cmd
+	exited       chan struct{}
+}
+
+// entry is the process of one entry.
 type entry struct {
-	fleet          *fleet
-	name, ip       string
+	process
 	callers, ready string
-	settingsFile   string
-	cmd            *exec.Cmd
-	exited         chan struct{}
+}
+
+// shape is what the servers of a fleet are and how they stream.
+type shape struct {
+	servers    []serverKind
+	eventCount int           // of a streamed answer
+	eventPace  time.Duration // between events
+}
+
+// serverKind is the stage and the version of the software of a server.
+type serverKind struct{ stage, software string }
+
+// usual is the shape of most fleets. The software of the last server differs from that of the
+// others.
+var usual = shape{
+	servers:    []serverKind{{"", "v1"}, {"", "v1"}, {"", "v1"}, {"prefill", "v1"}, {"prefill", "v1"}, {"decode", "v1"}, {"decode", "v1"}, {"decode", "v2"}},
+	eventCount: 12, eventPace: 15 * time.Millisecond,
 }
 
 // fleet holds the entries of one seed, with their backend servers and store.
 type fleet struct {
 	t            *testing.T
 	name         string
+	shape        shape
+	network      string // of the addresses of the servers' machines
 	history      *history
 	host         *testaddr.Host // of the servers and the store
 	fatal        fatalRequests
 	store        *store
 	servers      []*server
 	entries      []*entry
+	agents       []*process // beside the servers
 	version      int
 	disturbances disturbances
 	copies       []standin.Copy // of the store, to be restored
@@ -114,16 +141,16 @@
 
 // newFleet starts a fleet. Each seed has its own network of loopback addresses,
 // since all entries use the same ports.
-func newFleet(t *testing.T, seed uint64) *fleet {
+func newFleet(t *testing.T, seed uint64, sh shape) *fleet {
 	addrs := testaddr.Reserve(t)
-	f := &fleet{t: t, name: fmt.Sprint("seed", seed), host: addrs, history: &history{runs: map[string]int{}, organisations: map[string]string{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
-	for i, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
-		f.addServer(fmt.Sprintf("s%d", i), stage)
+	f := &fleet{t: t, name: fmt.Sprint("seed", seed), shape: sh, network: fmt.Sprintf("127.%d.%d.", 101+seed/200%100, 1+seed%200), host: addrs, history: &history{runs: map[string]int{}, organisations: map[string]string{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
+	for i, kind := range sh.servers {
+		f.addServer(fmt.Sprintf("s%d", i), i, kind)
 	}
 	f.configure()
 	net := fmt.Sprintf("127.%d.%d.", 1+seed/200%100, 1+seed%200)
 	for i := range *entryCount {
-		e := &entry{fleet: f, name: fmt.Sprint("entry", i), ip: fmt.Sprint(net, i+1)}
+		e := &entry{process: process{fleet: f, name: fmt.Sprint("entry", i), ip: fmt.Sprint(net, i+1)}}
 		e.callers, e.ready = fmt.Sprint(e.ip, ":", callersPort), fmt.Sprint(e.ip, ":", readyPort)
 		e.settingsFile = filepath.Join(t.TempDir(), e.name+".toml")
 		e.writeSettings(net)
@@ -151,35 +178,35 @@
 
 // start starts the process unless it is running, since the ends of overlapping
 // faults may start it twice.
-func (e *entry) start() {
-	if e.exited != nil {
+func (p *process) start() {
+	if p.exited != nil {
 		select {
-		case <-e.exited:
+		case <-p.exited:
 		default:
 			return
 		}
 	}
-	out, err := os.OpenFile(e.settingsFile+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(p.settingsFile+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
-		e.fleet.t.Fatal(err)
+		p.fleet.t.Fatal(err)
 	}
-	e.cmd = exec.Command(samphired, "-platform")
-	e.cmd.Env = append(os.Environ(), "SAMPHIRESTREAM_NODE_FILE="+e.settingsFile)
-	e.cmd.Stdout, e.cmd.Stderr = out, out
-	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := e.cmd.Start(); err != nil {
-		e.fleet.t.Fatal(err)
+	p.cmd = exec.Command(samphired, append([]string{"-platform"}, p.arguments...)...)
+	p.cmd.Env = append(os.Environ(), "SAMPHIRESTREAM_NODE_FILE="+p.settingsFile)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		p.fleet.t.Fatal(err)
 	}
-	cmd, exited := e.cmd, make(chan struct{})
-	e.exited = exited
+	cmd, exited := p.cmd, make(chan struct{})
+	p.exited = exited
 	go func() { _ = cmd.Wait(); _ = out.Close(); close(exited) }()
 }
 
-func (e *entry) signal(s syscall.Signal) { _ = e.cmd.Process.Signal(s) } // an error means that it has exited
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) } // an error means that it has exited
 
-func (e *entry) kill() {
-	e.signal(syscall.SIGKILL)
-	<-e.exited
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
 }
 
 func (e *entry) isReady() bool {
@@ -191,13 +218,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (f *fleet) addServer(id, stage string) {
-	s := newServer(f, id, stage)
-	if stage == "prefill" {
+// addServer starts a server on a machine, beside those that it has, and registers it.
+func (f *fleet) addServer(id string, machine int, kind serverKind) *server {
+	s := newServer(f, id, fmt.Sprint(f.network, 1+machine, ":", serversPort+len(f.servers)), kind)
+	s.machine = machine
+	if kind.stage == "prefill" {
 		prefillServers.Store(s.link.addr, s)
 	}
 	f.servers = append(f.servers, s)
 	f.register(s, "ready")
+	return s
 }
 
 // configure publishes the next version of the configuration. The versions differ
@@ -365,14 +395,15 @@
 // runSeed runs a fleet under load with the faults of one seed and checks the
 // results.
 func runSeed(t *testing.T, seed uint64) {
-	f := newFleet(t, seed)
+	f := newFleet(t, seed, usual)
 	f.awaitReady()
 	rnd := rand.New(rand.NewPCG(seed, 99))
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newCallers(f)
 	done := make(chan struct{})
-	go func() { c.run(ctx, seed, callerCount); close(done) }()
-	f.startDraining(f.servers[leavingServer]) // in addition to the random faults
+	go func() { c.run(ctx, seed, callerCount, c.takeUpAtOnce); close(done) }()
+	// In addition to the random faults, until the end of which the store may be unavailable.
+	f.startDraining(f.servers[leavingServer], *length)
 	type activeFault struct {
 		end func()
 		at  time.Time
@@ -436,10 +467,10 @@
 	}
 }
 
-// startDraining registers a server as draining.
-func (f *fleet) startDraining(s *server) {
+// startDraining registers a server as draining, which entries may notice after a time.
+func (f *fleet) startDraining(s *server, notice time.Duration) {
 	s.mu.Lock()
-	s.drainNoticedBy = time.Now().Add(*length) // the store may be unavailable until the faults end
+	s.drainNoticedBy = time.Now().Add(notice)
 	s.mu.Unlock()
 	f.register(s, "draining")
 }
@@ -539,10 +570,10 @@
 // Each case breaks one invariant in a correct result.
 func TestViolationsFindsBrokenInvariants(t *testing.T) {
 	whole := ""
-	for k := 1; k <= eventCount; k++ {
+	for k := 1; k <= usual.eventCount; k++ {
 		whole += event("r", k, "v1")
 	}
-	correct := result{id: "r", path: "/stream/x", status: 200, complete: true, body: whole, proven: true}
+	correct := result{id: "r", path: "/stream/x", status: 200, complete: true, body: whole, events: usual.eventCount, proven: true}
 	if v := violations(correct, 1); len(v) > 0 {
 		t.Fatal(v)
 	}
--- a/test/soak/standin_test.go
+++ b/test/soak/standin_test.go
@@ -62,6 +62,7 @@
 // without separate prefill and decode stages.
 type server struct {
 	id, stage string
+	machine   int
 	history   *history
 	fleet     *fleet
 	// software is the version that its registration names.
@@ -85,16 +86,10 @@
 	losesAnswers bool
 }
 
-// lastDecode is the server whose software differs from that of the others.
-const lastDecode = "s7"
-
-func newServer(f *fleet, id, stage string) *server {
-	s := &server{id: id, stage: stage, history: f.history, fleet: f, software: "v1", advice: advice{born: 1}, handles: map[string]string{}}
-	if id == lastDecode {
-		s.software = "v2"
-	}
+func newServer(f *fleet, id, addr string, kind serverKind) *server {
+	s := &server{id: id, stage: kind.stage, history: f.history, fleet: f, software: kind.software, advice: advice{born: 1}, handles: map[string]string{}}
 	s.http = httptest.NewServer(s)
-	s.link = newLink(f.t, f.host.Addr(), s.http.Listener.Addr().String())
+	s.link = newLink(f.t, addr, s.http.Listener.Addr().String())
 	return s
 }
 
@@ -188,13 +183,14 @@
 	return ok && from.(*server).takeHandle(handle) == id
 }
 
-const eventCount = 12 // events of a streamed answer
-
 // event returns one event of a stream.
 func event(stream string, k int, software string) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d\ndata: %s%s\n\n", k, stream, k, softwareField, software)
 }
 
+// eventEnd ends each event.
+const eventEnd = "\n\n"
+
 const softwareField = "software "
 
 // softwareOf returns the versions of software that made the events of a body.
@@ -214,7 +210,7 @@
 func (s *server) stream(w http.ResponseWriter, r *http.Request, in standin.ServerRequest) {
 	from, stream := in.LastEvent, cmp.Or(in.Resumes, in.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for k := from + 1; k <= eventCount; k++ {
+	for k := from + 1; k <= s.fleet.shape.eventCount; k++ {
 		s.mu.Lock()
 		breaks := s.breaksStreams
 		s.mu.Unlock()
@@ -225,7 +221,7 @@
 			return
 		}
 		w.(http.Flusher).Flush()
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(s.fleet.shape.eventPace)
 	}
 }
 
