--- a/test/soak/restart_test.go
+++ b/test/soak/restart_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -12,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/platform/standin"
 )
 
 // restarts is the number of times that a seed kills all entries at once.
@@ -103,13 +107,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first := map[string]result{}
-	var served, wentOn, gone, agentsKilled int
+	var all, served, wentOn, gone, agentsKilled int
 	var refused []string
 	for _, r := range results {
 		if r.after == 0 {
 			first[r.stream] = r
 			continue
 		}
+		all++
 		// The caller found the entry ready just before.
 		if slices.ContainsFunc(l.stops[r.entry], func(at time.Time) bool {
 			return at.After(r.sent.Add(-readyInterval)) && at.Before(r.ended)
@@ -132,10 +137,10 @@
 			if slices.ContainsFunc(l.agentKills, func(at time.Time) bool { return at.After(begun.sent) && at.Before(r.sent) }) {
 				agentsKilled++
 			}
-			if r.status == http.StatusOK {
+			if r.status == http.StatusOK && r.complete {
 				wentOn++
 			} else {
-				refused = append(refused, fmt.Sprintf("request %s: takes up %s after event %d at entry %d, %d servers of %s are ready, but the status is %d", r.id, r.stream, r.after, r.entry, ready, software, r.status))
+				refused = append(refused, fmt.Sprintf("request %s: takes up %s after event %d at entry %d, %d servers of %s are ready, but the status is %d, complete %v", r.id, r.stream, r.after, r.entry, ready, software, r.status, r.complete))
 			}
 		case !registered:
 			gone++
@@ -147,7 +152,7 @@
 	if float64(len(refused)) > lostShare*float64(agentsKilled) {
 		problems = append(problems, refused...)
 	}
-	return problems, fmt.Sprintf("%d streams taken up while their version served (%d after agents were killed), %d went on; %d whose version was gone", served, agentsKilled, wentOn, gone)
+	return problems, fmt.Sprintf("%d streams taken up while their version served (%d after agents were killed), %d went on; %d whose version was gone; %d not judged", served, agentsKilled, wentOn, gone, all-served-gone)
 }
 
 // takeUpDelay is the time after which a caller gives up a stream that stands still, and
@@ -175,6 +180,24 @@
 	}
 }
 
+// startAgents starts the processes beside the model servers.
+func (f *fleet) startAgents() {
+	for _, s := range f.servers {
+		if s.stage == "" {
+			continue
+		}
+		p := &process{fleet: f, name: "agent-" + s.id, ip: fmt.Sprint(f.network, 1+s.machine), arguments: []string{"-agent"}}
+		p.settingsFile = filepath.Join(f.t.TempDir(), p.name+".toml")
+		n := standin.NodeSettings{Name: p.name, IP: p.ip, DataCentre: dataCentre, FirstPort: firstPort, LastPort: lastPort, MemoryMB: 100, Grace: gracePeriod}
+		if err := os.WriteFile(p.settingsFile, []byte(n.Text()), 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+		p.start()
+		f.t.Cleanup(p.kill)
+		f.agents = append(f.agents, p)
+	}
+}
+
 // release replaces servers: others with the next version register on the same machines, and the
 // old ones drain and leave.
 func (f *fleet) release(rnd *rand.Rand, l *restartLog, old []*server, next string, all *sync.WaitGroup) (added []*server) {
@@ -212,7 +235,7 @@
 		stop(i, syscall.SIGKILL)
 	}
 	var killed []*process
-	if agents && len(f.agents) > 0 {
+	if agents {
 		l.mu.Lock()
 		l.agentKills = append(l.agentKills, time.Now())
 		l.mu.Unlock()
@@ -251,6 +274,7 @@
 			for _, s := range slices.Concat(halves...) {
 				l.add(s, "ready")
 			}
+			f.startAgents()
 			f.awaitReady()
 			rnd := rand.New(rand.NewPCG(seed, 98))
 			ctx, cancel := context.WithCancel(context.Background())
@@ -300,6 +324,7 @@
 		"go on":                           {1, 40, 0, 0, 0, 0, false},
 		"one refused":                     {1, 40, 1, 503, 0, 0, true},
 		"one with no answer":              {1, 40, 1, 0, 0, 0, true},
+		"one cut short":                   {1, 40, 1, 200, 0, 0, true},
 		"the entry is killed":             {1, 40, 1, 0, 1.05, 0, false},
 		"killed before":                   {1, 40, 1, 503, 0.5, 0, true},
 		"one after agents were killed":    {1, 60, 1, 503, 0, 0.5, false},
@@ -336,7 +361,7 @@
 					status = tc.status
 				}
 				results = append(results, result{stream: stream, sent: at(tc.sent - 2), status: 200, body: event(stream, 1, "v1")},
-					result{stream: stream, after: 1, sent: at(tc.sent), ended: at(tc.sent + 0.1), status: status})
+					result{stream: stream, after: 1, sent: at(tc.sent), ended: at(tc.sent + 0.1), status: status, complete: i < tc.wentOn})
 			}
 			problems, _ := l.judge(results)
 			is.New(t).Equal(len(problems) > 0, tc.broken)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -543,9 +544,13 @@
 		f.t.Log(err)
 		return
 	}
+	processes := slices.Clone(f.agents)
 	for _, e := range f.entries {
-		if b, err := os.ReadFile(e.settingsFile + ".log"); err == nil {
-			_ = os.WriteFile(filepath.Join(dir, strings.ReplaceAll(e.name, "/", "-")), b, 0o600)
+		processes = append(processes, &e.process)
+	}
+	for _, p := range processes {
+		if b, err := os.ReadFile(p.settingsFile + ".log"); err == nil {
+			_ = os.WriteFile(filepath.Join(dir, strings.ReplaceAll(p.name, "/", "-")), b, 0o600)
 		}
 	}
 	f.t.Log("logs are in ", dir)
