--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -14,9 +14,9 @@
 
 // Timing of streams that go on at one version of the servers' software.
 const (
-	// askInterval is the time after which the other entries are asked once more by which
-	// software a stream was begun, since datagrams are lost, and askTimeout that after which
-	// nobody is taken to know.
+	// askInterval is the time after which the other entries, and more keepers, are asked what
+	// began a stream, since datagrams are lost, and askTimeout that after which nobody is taken
+	// to know.
 	askInterval = 40 * time.Millisecond
 	askTimeout  = 100 * time.Millisecond
 	// pinnedTargets is the time, in multiples of the route's target for the first event, for
@@ -24,6 +24,9 @@
 	// its caller's patience (admission.Patience). A server whose runs stall is predicted to
 	// free memory soon, so that a longer wait there can be in vain.
 	pinnedTargets = 2
+	// refreshInterval is the interval at which the streams that are relayed are recorded again,
+	// so that long ones are remembered for some time after they break off.
+	refreshInterval = origin.Retention / 2
 )
 
 // originSource is how the version that began a stream became known.
@@ -48,15 +51,15 @@
 	return out
 }
 
-// SetRemoteOrigins stores by which software streams were begun that other entries relay.
-func (r *Router) SetRemoteOrigins(software string, streams []origin.Key) {
+// SetRemoteOrigins stores what began streams that other entries relay.
+func (r *Router) SetRemoteOrigins(o origin.Origin, streams []origin.Key) {
 	for _, k := range streams {
-		r.origins.Put(k, software)
+		r.origins.Put(k, o)
 	}
 }
 
-// Origin returns the software that began a stream, if this entry has it recorded.
-func (r *Router) Origin(stream origin.Key) (software string, ok bool) { return r.origins.Get(stream) }
+// Origin returns what began a stream, if this entry has it recorded.
+func (r *Router) Origin(stream origin.Key) (o origin.Origin, ok bool) { return r.origins.Get(stream) }
 
 // stream returns the key of the stream that the call begins or takes up.
 func (x *exchange) stream() origin.Key { return origin.KeyOf(x.call.streamID()) }
@@ -68,60 +71,86 @@
 	if !x.route.Resumable {
 		return
 	}
-	r, k := x.router, x.stream()
-	r.origins.Put(k, x.software)
+	r, k, o := x.router, x.stream(), origin.Origin{Service: x.service, Software: x.software}
+	r.origins.Put(k, o)
 	if r.options.Peers == nil {
 		return
 	}
 	keepers := origin.KeepersOf(k, x.software, r.fleet.keepers(x.service))
-	r.relayed.begin(k, relayedStream{service: x.service, software: x.software, keepers: keepers})
-	r.options.Peers.TellOrigin(k, x.software, keepers)
+	r.relayed.begin(k, relayedStream{origin: o, keepers: keepers})
+	x.relayed = true
+	r.options.Peers.TellOrigin(k, o, keepers)
 }
 
-// findOrigin finds out by which software the stream was begun that the call takes up. The
-// refusal is not nil if the stream can not go on.
-func (x *exchange) findOrigin(ctx context.Context) *apierror.Error {
-	if x.call.LastEvent == "" || !x.route.Resumable {
+// restartRemedy is the remedy of calls whose stream can not go on.
+const restartRemedy = "send the request again without the events that were received"
+
+// findOrigin finds out what began the stream that the call takes up, and has it go on at the same
+// service: the shares of the route may have changed since. The refusal is not nil if the stream
+// can not go on.
+func (x *exchange) findOrigin(ctx context.Context, c *directory.Config) *apierror.Error {
+	if x.call.LastEvent == "" || !x.route.Resumable || x.route.Kind != directory.Streaming {
 		return nil
 	}
-	versions := x.router.fleet.softwareWithin(x.service, x.route.Timeout)
-	software, known := x.router.origins.Get(x.stream())
-	x.knownBy = originRecorded
-	only := len(versions) == 1 && x.router.fleet.seenAllFor(x.route.Timeout)
-	if !known && !only {
-		software, known = x.askOrigin(ctx)
-		x.knownBy = originAsked
+	o, source := x.originOf(ctx, c)
+	if source == "" {
+		return nil // plain services have no versions
 	}
+	x.knownBy = source
+	x.router.count.takenUp[source].Add(1)
 	switch {
-	case known:
-	case only:
-		software, x.knownBy = versions[0], originOnly
-	default:
-		x.knownBy = originUnknown
-	}
-	x.router.count.takenUp[x.knownBy].Add(1)
-	if x.knownBy == originUnknown {
-		// Without versions, servers of any may appear while the call waits.
-		x.warn("stream of unknown software", "takes_up", x.call.Resumes, "versions", len(versions))
-		return apierror.NotRun(apierror.KindUnavailable, "it is not known which version of the servers began the stream", "send the request again without the events that were received")
-	}
-	x.software, x.begun = software, true
+	case source == originUnknown:
+		x.warn("stream of unknown origin", "takes_up", x.call.Resumes)
+		return apierror.NotRun(apierror.KindUnavailable, "it is not known which version of the servers began the stream", restartRemedy)
+	case o.Service != "" && !x.route.Sends(o.Service):
+		x.warn("the route no longer has the service that began the stream", "takes_up", x.call.Resumes, "service", o.Service)
+		return apierror.NotRun(apierror.KindUnavailable, "the service that began the stream no longer serves its route", restartRemedy)
+	case o.Service != "":
+		x.service = o.Service
+	}
+	x.software, x.begun = o.Software, true
 	return nil
 }
 
-// askOrigin asks the other entries by which software the stream of the call was begun.
-func (x *exchange) askOrigin(ctx context.Context) (software string, known bool) {
+// originOf returns what began the stream of the call, and how that became known; "" for a stream
+// of a plain service.
+func (x *exchange) originOf(ctx context.Context, c *directory.Config) (origin.Origin, originSource) {
+	if o, ok := x.router.origins.Get(x.stream()); ok {
+		return o, originRecorded
+	}
+	if !c.HasEngine(x.service) {
+		return origin.Origin{}, ""
+	}
+	// Others are asked first: what this entry has seen of the servers may not be all.
+	if o, ok := x.askOrigin(ctx); ok {
+		return o, originAsked
+	}
+	f, within := x.router.fleet, x.route.Timeout
+	// Without versions, servers of any may appear while the call waits.
+	if versions := f.softwareWithin(x.service, within); len(versions) == 1 && within <= softwareTTL && f.seenAllFor(within) && f.unmovedFor(x.route, within) {
+		return origin.Origin{Service: x.service, Software: versions[0]}, originOnly
+	}
+	return origin.Origin{}, originUnknown
+}
+
+// askOrigin asks the other entries, and the keepers beside the servers of all services, what
+// began the stream of the call.
+func (x *exchange) askOrigin(ctx context.Context) (o origin.Origin, known bool) {
 	peers, k := x.router.options.Peers, x.stream()
 	if peers == nil {
-		return "", false
+		return o, false
+	}
+	var keepers, next []string
+	for _, beside := range x.router.fleet.allKeepers() {
+		keepers = append(keepers, origin.Asked(k, beside)...)
+		next = append(next, origin.AskedNext(k, beside)...)
 	}
-	keepers := origin.Asked(k, x.router.fleet.keepers(x.service))
 	if !peers.AskOrigin(k, keepers) {
-		return "", false
+		return o, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, keepers) })
+	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, next) })
 	defer again.Stop()
 	return x.router.origins.Wait(ctx, k)
 }
@@ -167,6 +196,8 @@
 // FollowServers records the versions of the servers with each change until stop is closed, and
 // tells new keepers of the streams that this entry relays.
 func (r *Router) FollowServers(stop <-chan struct{}) {
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
 	for {
 		changed := r.directory.Changed()
 		r.fleet.sync()
@@ -174,6 +205,8 @@
 		select {
 		case <-stop:
 			return
+		case <-refresh.C:
+			r.refreshRelayed()
 		case <-changed:
 		}
 	}
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -10,9 +11,12 @@
 
 // relayedStream is a resumable stream that this entry relays.
 type relayedStream struct {
-	service, software string
+	origin origin.Origin
 	// keepers are the addresses of those that were told of it.
 	keepers []string
+	// calls is the number of calls that relay it: a caller may take it up here before the end
+	// of its former call is noticed.
+	calls int
 }
 
 // relayed are the resumable streams that this entry relays. It is safe for concurrent use.
@@ -26,13 +30,28 @@
 func (l *relayed) begin(k origin.Key, s relayedStream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s.calls = l.streams[k].calls + 1
 	l.streams[k] = s
 }
 
+// end ends one of the calls that relay a stream.
 func (l *relayed) end(k origin.Key) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.streams, k)
+	s := l.streams[k]
+	s.calls--
+	if s.calls <= 0 {
+		delete(l.streams, k)
+		return
+	}
+	l.streams[k] = s
+}
+
+// endRelayed removes the stream of a call that ends from those that this entry relays.
+func (x *exchange) endRelayed() {
+	if x.relayed {
+		x.router.relayed.end(x.stream())
+	}
 }
 
 func (l *relayed) len() int {
@@ -41,25 +60,31 @@
 	return len(l.streams)
 }
 
-// keptBy returns the streams, by version, of which a keeper was told.
-func (l *relayed) keptBy(addr string) map[string][]origin.Key {
+func (l *relayed) all() map[origin.Key]relayedStream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.streams)
+}
+
+// keptBy returns the streams, by origin, of which a keeper was told.
+func (l *relayed) keptBy(addr string) map[origin.Origin][]origin.Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := map[string][]origin.Key{}
+	out := map[origin.Origin][]origin.Key{}
 	for k, s := range l.streams {
 		if slices.Contains(s.keepers, addr) {
-			out[s.software] = append(out[s.software], k)
+			out[s.origin] = append(out[s.origin], k)
 		}
 	}
 	return out
 }
 
 // reassign replaces the keepers of all streams, and returns for each new one the streams by
-// version.
-func (l *relayed) reassign(keepersOf func(k origin.Key, s relayedStream) []string) map[string]map[string][]origin.Key {
+// origin.
+func (l *relayed) reassign(keepersOf func(k origin.Key, s relayedStream) []string) map[string]map[origin.Origin][]origin.Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := map[string]map[string][]origin.Key{}
+	out := map[string]map[origin.Origin][]origin.Key{}
 	for k, s := range l.streams {
 		former := s.keepers
 		s.keepers = keepersOf(k, s)
@@ -69,28 +94,42 @@
 				continue
 			}
 			if out[addr] == nil {
-				out[addr] = map[string][]origin.Key{}
+				out[addr] = map[origin.Origin][]origin.Key{}
 			}
-			out[addr][s.software] = append(out[addr][s.software], k)
+			out[addr][s.origin] = append(out[addr][s.origin], k)
 		}
 	}
 	return out
 }
 
-// tellNewKeepers tells keepers of the streams that have become theirs with a change of the
-// servers.
+// evidenceKey selects the keepers of what is known of servers that ended: the same for all
+// entries.
+var evidenceKey = origin.KeyOf("evidence")
+
+// tellNewKeepers tells keepers of what has become theirs with a change of the servers.
 func (r *Router) tellNewKeepers() {
 	if r.options.Peers == nil {
 		return
 	}
+	r.options.Peers.SetEvidenceKeepers(origin.KeepersOf(evidenceKey, "", slices.Concat(r.fleet.allKeepers()...)))
 	news := r.relayed.reassign(func(k origin.Key, s relayedStream) []string {
-		return origin.KeepersOf(k, s.software, r.fleet.keepers(s.service))
+		return origin.KeepersOf(k, s.origin.Software, r.fleet.keepers(s.origin.Service))
 	})
 	for addr, streams := range news {
 		r.options.Peers.TellKeeper(addr, streams)
 	}
 }
 
+// refreshRelayed records the streams that this entry relays again, here and elsewhere.
+func (r *Router) refreshRelayed() {
+	for k, s := range r.relayed.all() {
+		r.origins.Put(k, s.origin)
+		if r.options.Peers != nil {
+			r.options.Peers.TellOrigin(k, s.origin, s.keepers)
+		}
+	}
+}
+
 // KeeperRestarted tells a keeper that has started again of the streams that it kept.
 func (r *Router) KeeperRestarted(addr string) {
 	if streams := r.relayed.keptBy(addr); len(streams) > 0 {
@@ -123,3 +162,12 @@
 	f.keepersBy[service] = list
 	return list
 }
+
+// allKeepers returns the keepers beside the servers of each service.
+func (f *fleet) allKeepers() [][]origin.Keeper {
+	var out [][]origin.Keeper
+	for service := range f.directory.Current().Services {
+		out = append(out, f.keepers(service))
+	}
+	return out
+}
