--- a/internal/loadexchange/ends.go
+++ b/internal/loadexchange/ends.go
@@ -105,8 +105,11 @@
 	x.sentEvidence.add(x.newEvidence)
 	x.newEvidence = evidence{}
 	to := x.livePeersLocked(time.Now())
-	for _, addr := range x.evidenceKeepers {
-		to[addr] = true
+	if !out.empty() {
+		for _, addr := range x.evidenceKeepers {
+			to[addr] = true
+			x.contactLocked(addr)
+		}
 	}
 	x.mu.Unlock()
 	x.sendAll(out, to)
@@ -145,6 +148,7 @@
 	for _, addr := range addrs {
 		if !slices.Contains(x.evidenceKeepers, addr) {
 			added[addr] = true
+			x.contactLocked(addr)
 		}
 	}
 	x.evidenceKeepers = addrs
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -759,6 +759,7 @@
 func (x *Exchange) expire(now time.Time) {
 	var changed []string
 	x.mu.Lock()
+	x.expireKeepersLocked(now)
 	timeout := x.timeoutLocked()
 	for addr, p := range x.peers {
 		idle := now.Sub(p.lastReceived)
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -1,10 +1,13 @@
 package loadexchange
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/samphirestream/samphirestream/internal/origin"
 )
 
@@ -25,26 +28,37 @@
 	Software string       `cbor:"1,keyasint"`
 	Streams  []origin.Key `cbor:"2,keyasint"`
 	// Service is missing in reports of entries before it was added.
-	Service string `cbor:"3,keyasint,omitempty"`
+	Service   string `cbor:"3,keyasint,omitempty"`
+	Ambiguous bool   `cbor:"4,keyasint,omitempty"`
 }
 
 func newOriginReport(o origin.Origin, streams ...origin.Key) originReport {
-	return originReport{Service: o.Service, Software: o.Software, Streams: streams}
+	return originReport{Service: o.Service, Software: o.Software, Ambiguous: o.Ambiguous, Streams: streams}
 }
 
 func (r originReport) origin() origin.Origin {
-	return origin.Origin{Service: r.Service, Software: r.Software}
+	return origin.Origin{Service: r.Service, Software: r.Software, Ambiguous: r.Ambiguous}
+}
+
+// TellOrigin reports at once to some peers and to keepers what began a stream. Which peers depends
+// on its content, so that an entry that is asked to take it up finds them.
+func (x *Exchange) TellOrigin(s origin.Stream, o origin.Origin, keepers []string) {
+	to := x.originPeersOf(s.Content, originPeers, keepers)
+	x.sendOnce(&message{Origins: []originReport{newOriginReport(o, s.ID, s.Content)}}, to)
 }
 
-// TellOrigin reports at once to some peers and to keepers what began a stream.
-// Which peers depends on the stream, so that an entry that is asked to take it up finds them.
-func (x *Exchange) TellOrigin(k origin.Key, o origin.Origin, keepers []string) {
-	to := x.originPeersOf(k, originPeers, keepers)
-	x.sendOnce(&message{Origins: []originReport{newOriginReport(o, k)}}, to)
+// contactLocked records that a message goes to a keeper, so that it may answer.
+func (x *Exchange) contactLocked(addr string) {
+	k := x.keepers[addr]
+	k.contacted = time.Now()
+	x.keepers[addr] = k
 }
 
 // TellKeeper reports to one keeper what began streams.
 func (x *Exchange) TellKeeper(addr string, streams map[origin.Origin][]origin.Key) {
+	x.mu.Lock()
+	x.contactLocked(addr)
+	x.mu.Unlock()
 	for o, list := range streams {
 		for part := range slices.Chunk(list, maxReported) {
 			x.sendOnce(&message{Origins: []originReport{newOriginReport(o, part...)}}, map[string]bool{addr: true})
@@ -52,10 +66,10 @@
 	}
 }
 
-// AskOrigin asks the peers that probably received it, and keepers, what began a stream. Their
-// answers go to the handler. It reports whether anybody was asked.
-func (x *Exchange) AskOrigin(k origin.Key, keepers []string) bool {
-	to := x.originPeersOf(k, originPeersAsked, keepers)
+// AskOrigin asks the peers that probably received it, and keepers, what began the stream with one
+// of the keys of s. Their answers go to the handler. It reports whether anybody was asked.
+func (x *Exchange) AskOrigin(k origin.Key, s origin.Stream, keepers []string) bool {
+	to := x.originPeersOf(s.Content, originPeersAsked, keepers)
 	x.sendOnce(&message{AskedOrigins: []origin.Key{k}}, to)
 	return len(to) > 0
 }
@@ -70,6 +84,7 @@
 	}
 	for _, addr := range keepers {
 		to[addr] = true
+		x.contactLocked(addr)
 	}
 	return to
 }
@@ -111,14 +126,19 @@
 // has forgotten what it was told.
 func (x *Exchange) applyKeeper(from string, m *message, now time.Time) {
 	x.mu.Lock()
-	former, known := x.keepers[from]
-	x.keepers[from] = keeperState{incarnation: m.Incarnation, heard: now}
+	former, contacted := x.keepers[from]
+	if !contacted {
+		x.mu.Unlock()
+		_ = level.Warn(x.log).Log("msg", "answer of a process that was not asked", "from", from)
+		return
+	}
+	x.keepers[from] = keeperState{incarnation: m.Incarnation, heard: now, contacted: former.contacted}
 	x.mu.Unlock()
 	for _, o := range m.Origins {
 		x.handler.SetRemoteOrigins(o.origin(), o.Streams)
 	}
 	x.applyEvidence(m, now)
-	if known && former.incarnation != m.Incarnation {
+	if !former.heard.IsZero() && former.incarnation != m.Incarnation {
 		x.handler.KeeperRestarted(from)
 		x.tellRestarted(from)
 	}
@@ -127,10 +147,12 @@
 // keeperState is what is known of a keeper.
 type keeperState struct {
 	incarnation int64
-	heard       time.Time // when its last message was received
+	// heard and contacted are the times of its last message and of the last one to it.
+	heard, contacted time.Time
 }
 
-// keeperTTL is the time for which a keeper counts as running since its last message.
+// keeperTTL is the time for which a keeper counts as running since its last message, and for
+// which it is remembered since the last message to it.
 const keeperTTL = 30 * time.Second
 
 // Keepers returns the number of keepers that answered lately.
@@ -138,12 +160,15 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := 0
-	for addr, k := range x.keepers {
-		if time.Since(k.heard) > keeperTTL {
-			delete(x.keepers, addr)
-			continue
+	for _, k := range x.keepers {
+		if time.Since(k.heard) <= keeperTTL {
+			n++
 		}
-		n++
 	}
 	return n
 }
+
+// expireKeepersLocked forgets the keepers that were not contacted for a while.
+func (x *Exchange) expireKeepersLocked(now time.Time) {
+	maps.DeleteFunc(x.keepers, func(_ string, k keeperState) bool { return now.Sub(k.contacted) > keeperTTL })
+}
--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/samphirestream/samphirestream/internal/membership"
@@ -60,6 +61,8 @@
 	for i, k := range all {
 		addrs[i] = k.Addr
 	}
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
 	return membership.TopByRendezvous(rendezvousKey(stream), addrs, maxAsked)
 }
 
@@ -81,10 +84,12 @@
 	}
 	var out []string
 	for _, addrs := range ranks {
-		if len(out) == n {
-			break
+		// Servers that share a VM have one keeper.
+		slices.Sort(addrs)
+		addrs = slices.DeleteFunc(slices.Compact(addrs), func(addr string) bool { return slices.Contains(out, addr) })
+		if len(out) < n {
+			out = append(out, membership.TopByRendezvous(rendezvousKey(stream), addrs, n-len(out))...)
 		}
-		out = append(out, membership.TopByRendezvous(rendezvousKey(stream), addrs, n-len(out))...)
 	}
 	return out
 }
--- a/internal/origin/keepers_test.go
+++ b/internal/origin/keepers_test.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// TestServersOnOneVMCountOnce guards against a stream with fewer keepers than it should have.
+func TestServersOnOneVMCountOnce(t *testing.T) {
+	is := is.New(t)
+	all := versionKeepers("v1", 6, false)
+	for _, k := range all {
+		all = append(all, Keeper{Addr: k.Addr, Software: "v1"}, Keeper{Addr: k.Addr, Software: "v2", Leaving: true})
+	}
+	got := KeepersOf(KeyOf("stream"), "v1", all)
+	slices.Sort(got)
+	is.Equal(len(slices.Compact(got)), keepers)
+}
+
 // TestKeepersAreFoundAmongNewServers guards against streams whose keepers are not asked since
 // servers of their version have registered while all entries were down.
 func TestKeepersAreFoundAmongNewServers(t *testing.T) {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -8,13 +8,36 @@
 	"hash/fnv"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Key identifies a stream.
+// Key identifies a stream, by the ID of the call that began it or by what was asked. The lowest
+// bit tells these apart.
 type Key uint64
 
+// contentBit is set in keys of contents.
+const contentBit Key = 1
+
+// Stream are the keys of one stream. Callers that take a stream up need not name the call that
+// began it, but ask the same.
+type Stream struct{ ID, Content Key }
+
+// NewStream returns the keys of a stream that a call with an ID began by asking for a content.
+func NewStream(requestID string, content ...string) Stream {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range content {
+		_, _ = d.WriteString(s) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	return Stream{ID: KeyOf(requestID), Content: Key(d.Sum64()) | contentBit}
+}
+
 // Origin is what began a stream.
 type Origin struct {
+	// Ambiguous is set for a content for which streams were begun in different ways.
+	Ambiguous bool
 	// Service is the service that serves the stream; "" if it is not known.
 	Service string
 	// Software is the version of the software of its servers.
@@ -25,7 +48,7 @@
 func KeyOf(requestID string) Key {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(requestID)) // never fails
-	return Key(h.Sum64())
+	return Key(h.Sum64()) &^ contentBit
 }
 
 // Retention is the time for which a stream is remembered at least. It is longer than
@@ -47,12 +70,15 @@
 func NewTable() *Table { return &Table{present: map[Key]Origin{}, rotated: time.Now()} }
 
 // Put records the origin of a stream, and keeps it for another Retention if it is recorded. It
-// reports whether it was not. The first record stays: it is made with the first event, and reports
-// may overtake each other.
+// reports whether it was not. The first record of a call stays: it is made with the first event,
+// and reports may overtake each other. Different records of a content make it ambiguous.
 func (t *Table) Put(k Key, o Origin) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known, ok := t.get(k); ok {
+		if k&contentBit != 0 && known != o {
+			known = Origin{Ambiguous: true}
+		}
 		t.present[k] = known
 		return false
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/samphirestream/samphirestream/internal/blame"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/metrics"
+	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/retry"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
@@ -66,6 +67,8 @@
 	begun    bool
 	// knownBy is how the version of a stream that the call takes up became known.
 	knownBy originSource
+	// keys are those of the stream, once they were needed.
+	keys origin.Stream
 	// relayed is set once the stream is among those that this entry relays.
 	relayed bool
 }
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
@@ -61,8 +62,28 @@
 // Origin returns what began a stream, if this entry has it recorded.
 func (r *Router) Origin(stream origin.Key) (o origin.Origin, ok bool) { return r.origins.Get(stream) }
 
-// stream returns the key of the stream that the call begins or takes up.
-func (x *exchange) stream() origin.Key { return origin.KeyOf(x.call.streamID()) }
+// putOrigin records what began a stream.
+func (r *Router) putOrigin(s origin.Stream, o origin.Origin) {
+	r.origins.Put(s.ID, o)
+	r.origins.Put(s.Content, o)
+}
+
+// stream returns the keys of the stream that the call begins or takes up.
+func (x *exchange) stream() origin.Stream {
+	if x.keys == (origin.Stream{}) {
+		c := x.call
+		x.keys = origin.NewStream(c.streamID(), x.organisationName(), c.Host, c.Method, c.Target, strings.Join(c.SharedParts, ","), c.OwnPart, string(c.Body))
+	}
+	return x.keys
+}
+
+// askedKey returns the key by which the stream is known that the call takes up.
+func (x *exchange) askedKey() origin.Key {
+	if x.call.Resumes == "" {
+		return x.stream().Content
+	}
+	return x.stream().ID
+}
 
 // recordOrigin remembers that a server begins the stream of the call, or continues it, and
 // reports it to others before the first event is sent: they need it if this entry ends.
@@ -71,15 +92,15 @@
 	if !x.route.Resumable {
 		return
 	}
-	r, k, o := x.router, x.stream(), origin.Origin{Service: x.service, Software: x.software}
-	r.origins.Put(k, o)
+	r, s, o := x.router, x.stream(), origin.Origin{Service: x.service, Software: x.software}
+	r.putOrigin(s, o)
 	if r.options.Peers == nil {
 		return
 	}
-	keepers := origin.KeepersOf(k, x.software, r.fleet.keepers(x.service))
-	r.relayed.begin(k, relayedStream{origin: o, keepers: keepers})
+	keepers := origin.KeepersOf(s.Content, x.software, r.fleet.keepers(x.service))
+	r.relayed.begin(relayedStream{Stream: s, origin: o, keepers: keepers})
 	x.relayed = true
-	r.options.Peers.TellOrigin(k, o, keepers)
+	r.options.Peers.TellOrigin(s, o, keepers)
 }
 
 // restartRemedy is the remedy of calls whose stream can not go on.
@@ -115,15 +136,23 @@
 // originOf returns what began the stream of the call, and how that became known; "" for a stream
 // of a plain service.
 func (x *exchange) originOf(ctx context.Context, c *directory.Config) (origin.Origin, originSource) {
-	if o, ok := x.router.origins.Get(x.stream()); ok {
-		return o, originRecorded
-	}
-	if !c.HasEngine(x.service) {
+	o, known := x.router.origins.Get(x.askedKey())
+	source := originRecorded
+	if !known && !c.HasEngine(x.service) {
 		return origin.Origin{}, ""
 	}
-	// Others are asked first: what this entry has seen of the servers may not be all.
-	if o, ok := x.askOrigin(ctx); ok {
-		return o, originAsked
+	if !known {
+		// Others are asked first: what this entry has seen of the servers may not be all.
+		o, known = x.askOrigin(ctx)
+		source = originAsked
+	}
+	switch {
+	case o.Ambiguous:
+		return origin.Origin{}, originUnknown
+	case known:
+		return o, source
+	case x.call.Resumes == "" && len(x.route.Shares) > 1:
+		return origin.Origin{}, originUnknown // the service follows from the ID of the first call
 	}
 	// The time limit of the route may have been longer when the stream began. Without versions,
 	// servers of any may appear while the call waits.
@@ -137,21 +166,21 @@
 // askOrigin asks the other entries, and the keepers beside the servers of all services, what
 // began the stream of the call.
 func (x *exchange) askOrigin(ctx context.Context) (o origin.Origin, known bool) {
-	peers, k := x.router.options.Peers, x.stream()
+	peers, k, s := x.router.options.Peers, x.askedKey(), x.stream()
 	if peers == nil {
 		return o, false
 	}
 	var keepers, next []string
 	for _, beside := range x.router.fleet.allKeepers() {
-		keepers = append(keepers, origin.Asked(k, beside)...)
-		next = append(next, origin.AskedNext(k, beside)...)
+		keepers = append(keepers, origin.Asked(s.Content, beside)...)
+		next = append(next, origin.AskedNext(s.Content, beside)...)
 	}
-	if !peers.AskOrigin(k, keepers) {
+	if !peers.AskOrigin(k, s, keepers) {
 		return o, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, next) })
+	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, s, next) })
 	defer again.Stop()
 	return x.router.origins.Wait(ctx, k)
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -27,11 +27,12 @@
 	ShareServerSpeeds(server string)
 	// TellOrigin reports to some peers and to keepers what began a stream. It returns when that
 	// was sent.
-	TellOrigin(stream origin.Key, o origin.Origin, keepers []string)
+	TellOrigin(s origin.Stream, o origin.Origin, keepers []string)
 	// TellKeeper reports to one keeper what began streams.
 	TellKeeper(addr string, streams map[origin.Origin][]origin.Key)
-	// AskOrigin asks some peers and keepers what began a stream. It reports whether there are any.
-	AskOrigin(stream origin.Key, keepers []string) bool
+	// AskOrigin asks some peers and keepers what began the stream with one of the keys of s. It
+	// reports whether there are any.
+	AskOrigin(k origin.Key, s origin.Stream, keepers []string) bool
 	// SetEvidenceKeepers sets the keepers that remember the evidence.
 	SetEvidenceKeepers(addrs []string)
 	// Keepers returns the number of keepers that answered lately.
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -51,17 +51,17 @@
 	return p.usages[server]
 }
 
-func (*recordingPeers) PublishWaiting(string, []loadexchange.Waiting)     {}
-func (*recordingPeers) PublishSpeeds(string, predict.SpeedSums)           {}
-func (*recordingPeers) ShareServerSpeeds(string)                          {}
-func (*recordingPeers) SetEvidenceKeepers([]string)                       {}
-func (*recordingPeers) TellOrigin(origin.Key, origin.Origin, []string)    {}
-func (*recordingPeers) TellKeeper(string, map[origin.Origin][]origin.Key) {}
-func (*recordingPeers) AskOrigin(origin.Key, []string) bool               { return false }
-func (*recordingPeers) Keepers() int                                      { return 0 }
-func (*recordingPeers) ReportEnd(blame.End)                               {}
-func (*recordingPeers) ReportSurvived(map[blame.Key]time.Time)            {}
-func (*recordingPeers) Alive() int                                        { return 0 }
+func (*recordingPeers) PublishWaiting(string, []loadexchange.Waiting)      {}
+func (*recordingPeers) PublishSpeeds(string, predict.SpeedSums)            {}
+func (*recordingPeers) ShareServerSpeeds(string)                           {}
+func (*recordingPeers) SetEvidenceKeepers([]string)                        {}
+func (*recordingPeers) TellOrigin(origin.Stream, origin.Origin, []string)  {}
+func (*recordingPeers) TellKeeper(string, map[origin.Origin][]origin.Key)  {}
+func (*recordingPeers) AskOrigin(origin.Key, origin.Stream, []string) bool { return false }
+func (*recordingPeers) Keepers() int                                       { return 0 }
+func (*recordingPeers) ReportEnd(blame.End)                                {}
+func (*recordingPeers) ReportSurvived(map[blame.Key]time.Time)             {}
+func (*recordingPeers) Alive() int                                         { return 0 }
 
 func (*recordingPeers) PublishQuotas()                  {}
 func (p *recordingPeers) UsageAge() time.Duration       { return p.age }
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -22,6 +22,9 @@
 	entries     []*router.Router
 	directories []*directory.Directory
 	network     *memnet.Network
+	// alike is set if all streams of beginStreams ask the same, and unnamed if callers that take
+	// them up do not name the call that began them.
+	alike, unnamed bool
 	// stop stops the load exchange of each entry.
 	stop []context.CancelFunc
 	// start starts an entry, or starts it again with nothing that it knew, before a directory.
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -11,6 +11,7 @@
 
 // relayedStream is a resumable stream that this entry relays.
 type relayedStream struct {
+	origin.Stream
 	origin origin.Origin
 	// keepers are the addresses of those that were told of it.
 	keepers []string
@@ -21,17 +22,17 @@
 
 // relayed are the resumable streams that this entry relays. It is safe for concurrent use.
 type relayed struct {
-	mu      sync.Mutex // guards streams
-	streams map[origin.Key]relayedStream
+	mu      sync.Mutex                   // guards streams
+	streams map[origin.Key]relayedStream // by ID
 }
 
 func newRelayed() *relayed { return &relayed{streams: map[origin.Key]relayedStream{}} }
 
-func (l *relayed) begin(k origin.Key, s relayedStream) {
+func (l *relayed) begin(s relayedStream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.calls = l.streams[k].calls + 1
-	l.streams[k] = s
+	s.calls = l.streams[s.ID].calls + 1
+	l.streams[s.ID] = s
 }
 
 // end ends one of the calls that relay a stream.
@@ -50,7 +51,7 @@
 // endRelayed removes the stream of a call that ends from those that this entry relays.
 func (x *exchange) endRelayed() {
 	if x.relayed {
-		x.router.relayed.end(x.stream())
+		x.router.relayed.end(x.stream().ID)
 	}
 }
 
@@ -71,9 +72,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[origin.Origin][]origin.Key{}
-	for k, s := range l.streams {
+	for _, s := range l.streams {
 		if slices.Contains(s.keepers, addr) {
-			out[s.origin] = append(out[s.origin], k)
+			out[s.origin] = append(out[s.origin], s.ID, s.Content)
 		}
 	}
 	return out
@@ -81,13 +82,13 @@
 
 // reassign replaces the keepers of all streams, and returns for each new one the streams by
 // origin.
-func (l *relayed) reassign(keepersOf func(k origin.Key, s relayedStream) []string) map[string]map[origin.Origin][]origin.Key {
+func (l *relayed) reassign(keepersOf func(s relayedStream) []string) map[string]map[origin.Origin][]origin.Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string]map[origin.Origin][]origin.Key{}
 	for k, s := range l.streams {
 		former := s.keepers
-		s.keepers = keepersOf(k, s)
+		s.keepers = keepersOf(s)
 		l.streams[k] = s
 		for _, addr := range s.keepers {
 			if slices.Contains(former, addr) {
@@ -96,7 +97,7 @@
 			if out[addr] == nil {
 				out[addr] = map[origin.Origin][]origin.Key{}
 			}
-			out[addr][s.origin] = append(out[addr][s.origin], k)
+			out[addr][s.origin] = append(out[addr][s.origin], s.ID, s.Content)
 		}
 	}
 	return out
@@ -111,9 +112,14 @@
 	if r.options.Peers == nil {
 		return
 	}
-	r.options.Peers.SetEvidenceKeepers(origin.KeepersOf(evidenceKey, "", slices.Concat(r.fleet.allKeepers()...)))
-	news := r.relayed.reassign(func(k origin.Key, s relayedStream) []string {
-		return origin.KeepersOf(k, s.origin.Software, r.fleet.keepers(s.origin.Service))
+	all := slices.Concat(r.fleet.allKeepers()...)
+	if slices.Equal(all, r.lastKeepers) {
+		return
+	}
+	r.lastKeepers = all
+	r.options.Peers.SetEvidenceKeepers(origin.KeepersOf(evidenceKey, "", all))
+	news := r.relayed.reassign(func(s relayedStream) []string {
+		return origin.KeepersOf(s.Content, s.origin.Software, r.fleet.keepers(s.origin.Service))
 	})
 	for addr, streams := range news {
 		r.options.Peers.TellKeeper(addr, streams)
@@ -122,10 +128,10 @@
 
 // refreshRelayed records the streams that this entry relays again, here and elsewhere.
 func (r *Router) refreshRelayed() {
-	for k, s := range r.relayed.all() {
-		r.origins.Put(k, s.origin)
+	for _, s := range r.relayed.all() {
+		r.putOrigin(s.Stream, s.origin)
 		if r.options.Peers != nil {
-			r.options.Peers.TellOrigin(k, s.origin, s.keepers)
+			r.options.Peers.TellOrigin(s.Stream, s.origin, s.keepers)
 		}
 	}
 }
@@ -163,10 +169,10 @@
 	return list
 }
 
-// allKeepers returns the keepers beside the servers of each service.
+// allKeepers returns the keepers beside the servers of each service, in the order of the services.
 func (f *fleet) allKeepers() [][]origin.Keeper {
 	var out [][]origin.Keeper
-	for service := range f.directory.Current().Services {
+	for _, service := range slices.Sorted(maps.Keys(f.directory.Current().Services)) {
 		out = append(out, f.keepers(service))
 	}
 	return out
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -61,7 +61,11 @@
 		}
 		begun++
 		all.Go(func() {
-			next := serve(context.Background(), g.entries[(i+1)%len(g.entries)], takeUp(s.call, s.body.String()))
+			c := takeUp(s.call, s.body.String())
+			if c.OwnPart = s.call.OwnPart; g.unnamed {
+				c.Resumes = ""
+			}
+			next := serve(context.Background(), g.entries[(i+1)%len(g.entries)], c)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,6 +85,8 @@
 	// origins are the versions of software that began streams.
 	origins *origin.Table
 	relayed *relayed
+	// lastKeepers are the keepers that FollowServers last knew. Only it uses them.
+	lastKeepers []origin.Keeper
 	// blame is what requests servers have ended under.
 	blame *blame.Record
 	// trials is held by the request under suspicion that runs.
