--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -39,6 +39,9 @@
 	for i := range out {
 		c := newCall("/resumable/x")
 		c.PromptTokens, c.MaxTokens, c.ExpectedTokens = 500, 500, 400
+		if !g.alike {
+			c.OwnPart = c.ID
+		}
 		out[i] = &begunStream{call: c, cutAnswer: cutAnswer{ctx: ctx}}
 		all.Go(func() { g.entries[i%len(g.entries)].Serve(ctx, c, &out[i].cutAnswer) })
 	}
@@ -91,16 +94,31 @@
 
 // TestStreamsGoOnAfterAllEntriesWereKilled guards against versions that entries alone remember.
 func TestStreamsGoOnAfterAllEntriesWereKilled(t *testing.T) {
-	withRegion(t, 5, func(t *testing.T, g *region) {
-		is := is.New(t)
-		g.serveVersions(map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"})
-		streams := g.beginStreams(30, func() {})
-		g.killAll(func(*directory.Directory) {})
-		begun, same, mixed := g.takeUpAll(streams)
-		is.True(begun > len(streams)/2)
-		is.Equal(mixed, 0)
-		is.Equal(same, begun)
-	})
+	for name, tc := range map[string]struct {
+		versions       map[string]string
+		unnamed, alike bool // take-ups do not name the first call; all callers ask the same
+		goOn           bool
+	}{
+		"named":             {map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}, false, false, true},
+		"unnamed":           {map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}, true, false, true},
+		"one version":       {map[string]string{"d1": "v1", "d2": "v1", "d3": "v1"}, true, true, true},
+		"named and alike":   {map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}, false, true, true},
+		"unnamed and alike": {map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}, true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, 5, func(t *testing.T, g *region) {
+				is := is.New(t)
+				g.serveVersions(tc.versions)
+				g.unnamed, g.alike = tc.unnamed, tc.alike
+				streams := g.beginStreams(30, func() {})
+				g.killAll(func(*directory.Directory) {})
+				begun, same, mixed := g.takeUpAll(streams)
+				is.True(begun > len(streams)/2)
+				is.Equal(mixed, 0)
+				is.True(same == begun || !tc.goOn)
+			})
+		})
+	}
 }
 
 // TestStreamsGoOnAfterTheirKeepersHaveChanged guards against records that are lost one after the
@@ -204,7 +222,6 @@
 		takeUps.Wait()
 		load.Wait()
 		is.True(served(answers) < len(answers)*3/4)
-		t.Log(begun, wentOn.Load(), served(answers), len(answers))
 		is.True(begun > len(streams)/2)
 		is.Equal(int(wentOn.Load()), begun)
 	})
