--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -140,16 +140,19 @@
 	keys         keyring
 }
 
-// newFleet starts a fleet. Each seed has its own network of loopback addresses,
-// since all entries use the same ports.
+// network returns the beginning of the addresses of a reserved host's network.
+func network(h *testaddr.Host) string { return strings.TrimSuffix(h.IP, "1") }
+
+// newFleet starts a fleet. Its entries and its servers have networks of loopback addresses of their
+// own, since all entries use the same ports. Other runs of the same seed have others.
 func newFleet(t *testing.T, seed uint64, sh shape) *fleet {
 	addrs := testaddr.Reserve(t)
-	f := &fleet{t: t, name: fmt.Sprint("seed", seed), shape: sh, network: fmt.Sprintf("127.%d.%d.", 101+seed/200%100, 1+seed%200), host: addrs, history: &history{runs: map[string]int{}, organisations: map[string]string{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
+	f := &fleet{t: t, name: fmt.Sprint("seed", seed), shape: sh, network: network(testaddr.Reserve(t)), host: addrs, history: &history{runs: map[string]int{}, organisations: map[string]string{}}, store: newStore(t, addrs), disturbances: disturbances{all: map[string][]time.Time{}}}
 	for i, kind := range sh.servers {
 		f.addServer(fmt.Sprintf("s%d", i), i, kind)
 	}
 	f.configure()
-	net := fmt.Sprintf("127.%d.%d.", 1+seed/200%100, 1+seed%200)
+	net := network(testaddr.Reserve(t))
 	for i := range *entryCount {
 		e := &entry{process: process{fleet: f, name: fmt.Sprint("entry", i), ip: fmt.Sprint(net, i+1)}}
 		e.callers, e.ready = fmt.Sprint(e.ip, ":", callersPort), fmt.Sprint(e.ip, ":", readyPort)
