Take-ups that do not name their stream wait for all answers (ORDER)

Callers asked the same, and streams were begun at two versions, whose keepers are not all the same: the first answer that came told of one of them.

--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -11,6 +11,7 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/metrics"
 	"github.com/samphirestream/samphirestream/internal/origin"
+	"github.com/samphirestream/samphirestream/internal/sleep"
 )
 
 // Timing of streams that go on at one version of the servers' software.
@@ -20,6 +21,9 @@
 	// to know.
 	askInterval = 40 * time.Millisecond
 	askTimeout  = 100 * time.Millisecond
+	// settleTime is the time after the first answer in which others arrive: several round trips
+	// within a region.
+	settleTime = 40 * time.Millisecond
 	// pinnedTargets is the time, in multiples of the route's target for the first event, for
 	// which a stream waits for the servers that may continue it. Callers give up a stream
 	// that stands still for longer.
@@ -141,10 +145,13 @@
 		return origin.Origin{}, ""
 	}
 	if !known {
-		// Others are asked first: what this entry has seen of the servers may not be all.
-		o, known = x.askOrigin(ctx)
 		source = originAsked
 	}
+	if !known || x.call.Resumes == "" {
+		// Others are asked first: what this entry has seen of the servers, or of those who ask the
+		// same, may not be all.
+		o, known = x.askOrigin(ctx)
+	}
 	switch {
 	case o.Ambiguous:
 		return origin.Origin{}, originUnknown
@@ -167,7 +174,7 @@
 func (x *exchange) askOrigin(ctx context.Context) (o origin.Origin, known bool) {
 	peers, k, s := x.router.options.Peers, x.askedKey(), x.stream()
 	if peers == nil {
-		return o, false
+		return x.router.origins.Get(k)
 	}
 	var keepers, next []string
 	for _, beside := range x.router.fleet.allKeepers() {
@@ -175,13 +182,19 @@
 		next = append(next, origin.AskedNext(s.Content, beside)...)
 	}
 	if !peers.AskOrigin(k, s, keepers) {
-		return o, false
+		return x.router.origins.Get(k)
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, s, next) })
 	defer again.Stop()
-	return x.router.origins.Wait(ctx, k)
+	o, known = x.router.origins.Wait(ctx, k)
+	if known && x.call.Resumes == "" {
+		// The other answers may tell of another stream with the same content.
+		sleep.WithContext(ctx, settleTime)
+		o, known = x.router.origins.Get(k)
+	}
+	return o, known
 }
 
 // pinned reports whether the call continues a stream that only some of the servers of its
