--- a/internal/loadexchange/configs_test.go
+++ b/internal/loadexchange/configs_test.go
@@ -16,7 +16,7 @@
 // startReader starts a member that records the configurations that it takes from peers.
 func (n *network) startReader(addr string, version uint64, seeds ...string) (m *member, received *atomic.Pointer[[]byte]) {
 	received = &atomic.Pointer[[]byte]{}
-	m = n.startWith(Options{Self: addr, Seeds: seeds, OnConfig: func(text []byte) { received.Store(&text) }}, version)
+	m = n.startWith(Options{Self: addr, Seeds: seeds, OnConfig: func(text []byte, _ directory.Version) { received.Store(&text) }}, version)
 	return m, received
 }
 
@@ -46,11 +46,11 @@
 		a, _ := n.startReader(seed, 1)
 		b, fromB := n.startReader("10.0.0.2:1", 1, seed)
 		text := configText()
-		a.SetConfig(7, text)
+		a.SetConfig(7, text, directory.Version{})
 		time.Sleep(lossyFetchTime)
 		got := fromB.Load()
 		is.True(got != nil && bytes.Equal(*got, text))
-		b.SetConfig(7, *got)
+		b.SetConfig(7, *got, directory.Version{})
 		fromB.Store(nil)
 		c, fromC := n.startReader("10.0.0.3:1", 3, seed)
 		time.Sleep(lossyFetchTime)
@@ -82,7 +82,7 @@
 // TestConfigurationIsTakenQuickly takes a configuration of several bursts without loss.
 func TestConfigurationIsTakenQuickly(t *testing.T) {
 	withReaders(t, func(is *is.I, a, _ *member, fromA *atomic.Pointer[[]byte]) {
-		a.SetConfig(7, configText())
+		a.SetConfig(7, configText(), directory.Version{})
 		time.Sleep(configDelay + 2*fullInterval + 100*time.Millisecond)
 		is.True(fromA.Load() != nil && bytes.Equal(*fromA.Load(), configText()))
 	})
@@ -93,9 +93,9 @@
 func TestConfigurationsThatAllReadAreNotSent(t *testing.T) {
 	withReaders(t, func(is *is.I, a, b *member, fromA *atomic.Pointer[[]byte]) {
 		for version := range uint64(20) {
-			a.SetConfig(version+2, configText())
+			a.SetConfig(version+2, configText(), directory.Version{})
 			time.Sleep(900 * time.Millisecond)
-			b.SetConfig(version+2, configText())
+			b.SetConfig(version+2, configText(), directory.Version{})
 			time.Sleep(3 * time.Second)
 		}
 		is.True(fromA.Load() == nil)
@@ -106,22 +106,22 @@
 func TestOtherPartsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	c := &configs{version: 1, fetching: 3, fetched: []byte("ab")}
+	x := &Exchange{configs: configs{version: 1, fetching: 3, fetched: []byte("ab")}}
 	for _, part := range []configPart{
 		{Version: 2, Offset: 2, Size: 4, Data: []byte("cd")},
 		{Version: 3, Offset: 0, Size: 4, Data: []byte("ab")},
 		{Version: 3, Offset: 2, Size: maxConfigBytes + 1, Data: []byte("cd")},
 	} {
-		next, whole := c.take(&part, now)
+		next, whole := x.takeLocked(&part, now)
 		is.True(next == nil && whole == nil)
 	}
-	c.burst = configBurst - 1
-	next, whole := c.take(&configPart{Version: 3, Offset: 2, Size: 6, Data: []byte("cd")}, now)
+	x.configs.burst = configBurst - 1
+	next, whole := x.takeLocked(&configPart{Version: 3, Offset: 2, Size: 6, Data: []byte("cd")}, now)
 	is.True(whole == nil)
-	is.Equal(next, []*configPart{{Version: 3, Offset: 4}})
-	next, whole = c.take(&configPart{Version: 3, Offset: 4, Size: 6, Data: []byte("e")}, now)
+	is.Equal(next, []*configPart{{Version: 3, Offset: 4, Encoded: true, Base: 1}})
+	next, whole = x.takeLocked(&configPart{Version: 3, Offset: 4, Size: 6, Data: []byte("e")}, now)
 	is.True(next == nil && whole == nil)
-	_, whole = c.take(&configPart{Version: 3, Offset: 5, Size: 6, Data: []byte("f")}, now)
+	_, whole = x.takeLocked(&configPart{Version: 3, Offset: 5, Size: 6, Data: []byte("f")}, now)
 	is.Equal(string(whole), "abcdef")
 }
 
@@ -142,14 +142,15 @@
 				is := is.New(t)
 				n := newNetwork()
 				peer, _ := n.startReader(a, 1)
-				peer.SetRegistry(directory.Version{Era: 2, Revision: 5})
-				peer.SetConfig(7, []byte("newer"))
+				at := directory.Version{Era: 2, Revision: 5}
+				peer.SetRegistry(at, at)
+				peer.SetConfig(7, []byte("newer"), at)
 				m, received := n.startReader(b, 1, a)
-				m.SetRegistry(c.read)
+				m.SetRegistry(c.read, c.read)
 				time.Sleep(configDelay / 4)
 				is.Equal(m.ConfigLost(), c.lost)
 				is.Equal(received.Load() != nil, c.lost)
-				m.SetConfig(7, []byte("newer"))
+				m.SetConfig(7, []byte("newer"), directory.Version{})
 				is.True(!m.ConfigLost())
 				peer.stop()
 				m.stop()
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -73,11 +73,13 @@
 	// Seeds are addresses of some entries; they may be stale.
 	Seeds []string
 	// OnRegistry, if not nil, is called with the newest state of the registry that a peer
-	// has read.
+	// has read in which servers changed.
 	OnRegistry func(at directory.Version)
 	// OnConfig, if not nil, is called with the text of a configuration newer than the own
-	// one that a peer has.
-	OnConfig func(text []byte)
+	// one that a peer has, and the state of the registry in which it was written.
+	OnConfig func(text []byte, at directory.Version)
+	// Capacity is the bandwidth of this entry's link; the unit is that of the peers.
+	Capacity float64
 	// Registry, if not nil, is the entry's knowledge of the registry, of which the entries
 	// exchange the age.
 	Registry Registry
@@ -160,10 +162,11 @@
 	updatedServers map[string]bool
 	// remotePools are the pools for which a peer has ever reported waiting requests.
 	remotePools map[string]bool
-	// registry is the newest state of the registry that this entry has read.
-	registry directory.Version
-	configs  configs
-	peers    map[string]*peer // by address
+	// registry is the newest state of the registry that this entry has read in which servers
+	// changed. All configurations are known up to configRead.
+	registry, configRead directory.Version
+	configs              configs
+	peers                map[string]*peer // by address
 	// keepers are the keepers that have answered, by address.
 	keepers map[string]keeperState
 	// newEvidence is what was not yet reported of servers that ended, and sentEvidence what
@@ -256,12 +259,13 @@
 	}
 }
 
-// SetRegistry sets the newest state of the registry that this entry has read. It is sent
-// with the next full message.
-func (x *Exchange) SetRegistry(at directory.Version) {
+// SetRegistry sets the newest state of the registry that this entry has read in which servers
+// changed, which is sent with the next full message, and that up to which it knows all
+// configurations.
+func (x *Exchange) SetRegistry(servers, configRead directory.Version) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.registry = at
+	x.registry, x.configRead = servers, configRead
 }
 
 // speedsLocked returns this entry's observations of some services and records that they
@@ -457,6 +461,7 @@
 			x.sendChangedServerSpeeds()
 			x.sendQuotasToReturned()
 			x.sendEvidence(false)
+			x.announceConfig()
 		}
 	}
 }
@@ -524,7 +529,8 @@
 	x.seq++
 	m := &message{Incarnation: x.incarnation, Seq: x.seq, Full: true, Uses: map[string]Usage{}}
 	m.RegistryEra, m.RegistryRevision = x.registry.Era, x.registry.Revision
-	m.ConfigVersion = x.configs.version
+	x.addConfigLocked(m)
+	m.Capacity = x.options.Capacity
 	for addr, p := range x.peers {
 		if len(m.Members) < members && p.alive(now, x.timeoutLocked()) {
 			m.Members = append(m.Members, addr)
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirestream/samphirestream/internal/blame"
+	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/memnet"
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/predict"
@@ -45,7 +46,7 @@
 	m := &member{calls: map[string]int{}, stageChange: map[string]time.Time{}, unreachable: map[string]bool{}}
 	m.Exchange = New(n.Listen(o.Self), o, log.NewNopLogger())
 	m.SetHandler(m)
-	m.SetConfig(version, []byte("old"))
+	m.SetConfig(version, []byte("old"), directory.Version{})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	go m.Run(ctx)
--- a/internal/loadexchange/freshness.go
+++ b/internal/loadexchange/freshness.go
@@ -1,6 +1,7 @@
 package loadexchange
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -11,26 +12,70 @@
 
 // Registry is what the exchange needs of this entry's knowledge of the registry.
 type Registry interface {
-	// Known returns the state of the registry that is in force here and the age of that
-	// knowledge. It reports false while there is none.
-	Known() (at directory.Version, age time.Duration, ok bool)
+	// Known returns what is known of the registry. It reports false before all of it was read.
+	Known() (k Knowledge, ok bool)
 	// Now returns the time on a clock that counts the time in which the VM is suspended.
 	Now() time.Duration
-	// Confirmed is called when a peer knew that the registry was in a state, and in no later
-	// one, as of a time on that clock.
-	Confirmed(at directory.Version, asOf time.Duration)
+	// Confirmed is called with what a peer knew when it answered a question that was asked at
+	// a time on that clock.
+	Confirmed(k Knowledge, asked time.Duration)
 }
 
-// freshnessPart asks a peer for the age of its knowledge of the registry, or answers.
+// Knowledge is what an entry knows of the registry, and how old that is.
+type Knowledge struct {
+	// Servers is the state up to which all changes of servers are known. None of them is later
+	// than ServersChanged.
+	Servers, ServersChanged directory.Version
+	// Config is the state up to which all configurations are known. ConfigVersion is the newest.
+	Config        directory.Version
+	ConfigVersion uint64
+	// ServersAge and ConfigAge are the times since the registry was in these states.
+	ServersAge, ConfigAge time.Duration
+}
+
+// freshnessPart asks a peer what it knows of the registry, or answers. Ages are in milliseconds,
+// rounded up.
 type freshnessPart struct {
 	// Nonce identifies the question.
 	Nonce uint64 `cbor:"1,keyasint"`
 	// Answer is set in answers, and the fields below only there.
-	Answer   bool   `cbor:"2,keyasint,omitempty"`
-	Era      uint64 `cbor:"3,keyasint,omitempty"`
-	Revision uint64 `cbor:"4,keyasint,omitempty"`
-	// Age is in milliseconds, rounded up.
-	Age int64 `cbor:"5,keyasint,omitempty"`
+	Answer          bool   `cbor:"2,keyasint,omitempty"`
+	Era             uint64 `cbor:"3,keyasint,omitempty"`
+	ServersRevision uint64 `cbor:"4,keyasint,omitempty"`
+	ServersAge      int64  `cbor:"5,keyasint,omitempty"`
+	ServersChanged  uint64 `cbor:"6,keyasint,omitempty"`
+	ConfigRevision  uint64 `cbor:"7,keyasint,omitempty"`
+	ConfigAge       int64  `cbor:"8,keyasint,omitempty"`
+	ConfigVersion   uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+func roundUp(age time.Duration) int64 { return (age + time.Millisecond - 1).Milliseconds() }
+
+// answerFreshness returns the answer to a question; nil if not all of k is known in one era, or
+// for too long not.
+func answerFreshness(nonce uint64, k Knowledge) *freshnessPart {
+	if k.Servers.Era != k.Config.Era || max(k.ServersAge, k.ConfigAge) > maxFreshnessAge {
+		return nil
+	}
+	return &freshnessPart{
+		Nonce: nonce, Answer: true, Era: k.Servers.Era,
+		ServersRevision: k.Servers.Revision, ServersChanged: k.ServersChanged.Revision, ServersAge: roundUp(k.ServersAge),
+		ConfigRevision: k.Config.Revision, ConfigVersion: k.ConfigVersion, ConfigAge: roundUp(k.ConfigAge),
+	}
+}
+
+// valid reports whether an answer has all fields, with ages that are possible.
+func (f *freshnessPart) valid() bool {
+	return min(f.ServersChanged, f.ConfigRevision) > 0 && min(f.ServersAge, f.ConfigAge) >= 0 && max(f.ServersAge, f.ConfigAge) <= maxFreshnessAge.Milliseconds()
+}
+
+// knowledge returns what an answer says.
+func (f *freshnessPart) knowledge() Knowledge {
+	at := func(revision uint64) directory.Version { return directory.Version{Era: f.Era, Revision: revision} }
+	return Knowledge{
+		Servers: at(f.ServersRevision), ServersChanged: at(f.ServersChanged), ServersAge: time.Duration(f.ServersAge) * time.Millisecond,
+		Config: at(f.ConfigRevision), ConfigVersion: f.ConfigVersion, ConfigAge: time.Duration(f.ConfigAge) * time.Millisecond,
+	}
 }
 
 const (
@@ -46,12 +91,21 @@
 )
 
 // readersLocked returns the entries that ask the registry before the others do, so that these
-// learn from them: the first of all live entries in the order of their rendezvous weights.
-// Views may differ; then an entry more or less asks.
+// learn from them: those of all live entries with the links of the highest capacity, which read a
+// configuration first, in the order of their rendezvous weights. Views may differ; then an entry
+// more or less asks.
 func (x *Exchange) readersLocked(now time.Time) []string {
 	entries := x.livePeersLocked(now)
 	entries[x.options.Self] = true
-	return highestWeights("registry", entries, max(minReaders, len(entries)/entriesPerReader))
+	capacity := func(addr string) float64 {
+		if p := x.peers[addr]; p != nil {
+			return p.capacity
+		}
+		return x.options.Capacity
+	}
+	all := highestWeights("registry", entries, len(entries))
+	slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(capacity(b), capacity(a)) })
+	return all[:min(len(all), max(minReaders, len(entries)/entriesPerReader))]
 }
 
 // ReadsRegistry reports whether this entry is one of those that ask the registry before the
@@ -59,7 +113,11 @@
 func (x *Exchange) ReadsRegistry() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return slices.Contains(x.readersLocked(time.Now()), x.options.Self)
+	return x.readsLocked(time.Now())
+}
+
+func (x *Exchange) readsLocked(now time.Time) bool {
+	return slices.Contains(x.readersLocked(now), x.options.Self)
 }
 
 // AskFreshness asks two peers, one of those that ask the registry first and any other one, for
@@ -93,20 +151,17 @@
 		return
 	}
 	if !f.Answer {
-		at, age, ok := x.options.Registry.Known()
-		if !ok || age > maxFreshnessAge {
-			return
+		if k, ok := x.options.Registry.Known(); ok {
+			if answer := answerFreshness(f.Nonce, k); answer != nil {
+				x.send(&message{Incarnation: x.incarnation, Freshness: answer}, map[string]bool{from: true})
+			}
 		}
-		x.send(&message{Incarnation: x.incarnation, Freshness: &freshnessPart{
-			Nonce: f.Nonce, Answer: true, Era: at.Era, Revision: at.Revision, Age: (age + time.Millisecond - 1).Milliseconds(),
-		}}, map[string]bool{from: true})
 		return
 	}
 	x.mu.Lock()
 	asked, ok := x.freshnessAsked[f.Nonce]
 	x.mu.Unlock()
-	if !ok || f.Age < 0 || f.Age > maxFreshnessAge.Milliseconds() || x.options.Registry.Now()-asked > freshnessTTL {
-		return
+	if ok && f.valid() && x.options.Registry.Now()-asked <= freshnessTTL {
+		x.options.Registry.Confirmed(f.knowledge(), asked)
 	}
-	x.options.Registry.Confirmed(directory.Version{Era: f.Era, Revision: f.Revision}, asked-time.Duration(f.Age)*time.Millisecond)
 }
--- a/internal/loadexchange/freshness_test.go
+++ b/internal/loadexchange/freshness_test.go
@@ -22,13 +22,14 @@
 
 func (r *registry) Now() time.Duration { return r.offset + time.Since(r.began) }
 
-func (r *registry) Known() (directory.Version, time.Duration, bool) {
-	return r.at, r.Now() - time.Duration(r.asOf.Load()), true
+func (r *registry) Known() (Knowledge, bool) {
+	age := r.Now() - time.Duration(r.asOf.Load())
+	return Knowledge{Servers: r.at, ServersChanged: r.at, ServersAge: age, Config: r.at, ConfigVersion: 1, ConfigAge: age}, true
 }
 
-func (r *registry) Confirmed(at directory.Version, asOf time.Duration) {
-	if at == r.at {
-		r.confirmed.Store(max(r.confirmed.Load(), int64(asOf)))
+func (r *registry) Confirmed(k Knowledge, asked time.Duration) {
+	if k.Servers == r.at && k.ServersChanged == r.at && k.Config == r.at && k.ServersAge == k.ConfigAge {
+		r.confirmed.Store(max(r.confirmed.Load(), int64(asked-k.ServersAge)))
 	}
 }
 
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -216,18 +216,23 @@
 	Waits map[string][]Waiting `cbor:"11,keyasint,omitempty"`
 	// Speeds are what the sender has observed of the speeds of servers, by service.
 	Speeds map[string]predict.SpeedSums `cbor:"8,keyasint,omitempty"`
-	// RegistryEra and RegistryRevision are the newest state of the registry that the
-	// sender has read; in full messages only.
+	// RegistryEra and RegistryRevision are the newest state of the registry that the sender has
+	// read in which servers changed, and ConfigRevision that in which the configuration did; in
+	// full messages only.
 	RegistryEra      uint64 `cbor:"9,keyasint,omitempty"`
 	RegistryRevision uint64 `cbor:"10,keyasint,omitempty"`
+	ConfigRevision   uint64 `cbor:"26,keyasint,omitempty"`
 	// Origins are what began streams, and AskedOrigins the streams of which the sender wants to
 	// know; in messages to some peers and to keepers only. Field 12 was another format.
 	Origins      []originReport `cbor:"23,keyasint,omitempty"`
 	AskedOrigins []origin.Key   `cbor:"13,keyasint,omitempty"`
 	// Keeper is set in the messages of keepers.
 	Keeper bool `cbor:"24,keyasint,omitempty"`
-	// ConfigVersion is the version of the sender's configuration; in full messages only.
+	// ConfigVersion is the version of the sender's configuration; in full messages, and in
+	// those that announce a new one.
 	ConfigVersion uint64 `cbor:"14,keyasint,omitempty"`
+	// Capacity is the bandwidth of the sender's link; in full messages only.
+	Capacity float64 `cbor:"27,keyasint,omitempty"`
 	// Config is a part of a configuration, or asks for one; in messages to one peer only.
 	Config *configPart `cbor:"15,keyasint,omitempty"`
 	// Ends are servers that ended without a plan, and Survived the causes that servers have
@@ -280,6 +285,8 @@
 	serverSpeeds map[string]receivedSpeeds
 	// seqs are the sequence numbers of the messages that last set each use.
 	seqs map[string]uint64
+	// capacity is the bandwidth of the peer's link.
+	capacity float64
 }
 
 func newPeer(incarnation int64) *peer {
@@ -348,7 +355,7 @@
 	if !m.Full {
 		return changed
 	}
-	p.lastFull = now
+	p.lastFull, p.capacity = now, m.Capacity
 	for s := range p.uses {
 		if _, listed := m.Uses[s]; !listed && p.seqs[s] < m.Seq {
 			delete(p.uses, s)
--- a/internal/router/malformed_test.go
+++ b/internal/router/malformed_test.go
@@ -122,7 +122,7 @@
 			m := malformed{rand.New(rand.NewPCG(seed, 100))}
 			network := memnet.New(memnet.EntryLatency)
 			const self = "10.0.0.1:7000"
-			x := loadexchange.New(network.Listen(self), loadexchange.Options{Self: self, OnConfig: func([]byte) {}, OnRegistry: func(directory.Version) {}}, nopLogger)
+			x := loadexchange.New(network.Listen(self), loadexchange.Options{Self: self, OnConfig: func([]byte, directory.Version) {}, OnRegistry: func(directory.Version) {}}, nopLogger)
 			f := &fleet{servers: newFakeServers(), directory: newDirectory()}
 			o := testOptions
 			o.Peers = x
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -16,6 +16,9 @@
 	ln    net.Listener
 	delay time.Duration
 	cut   bool // new connections are reset
+	// rate is that of all connections together, in bytes a second; 0 for no limit.
+	rate  float64
+	turn  sync.Mutex // held while a part is on the way at the rate
 	conns map[*proxiedConn]bool
 }
 
@@ -99,8 +102,13 @@
 	for {
 		n, err := src.Read(buf)
 		l.mu.Lock()
-		delay, drop := l.delay, *blackhole
+		delay, drop, rate := l.delay, *blackhole, l.rate
 		l.mu.Unlock()
+		if rate > 0 {
+			l.turn.Lock()
+			time.Sleep(time.Duration(float64(n) / rate * float64(time.Second)))
+			l.turn.Unlock()
+		}
 		if drop && err == nil {
 			continue
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,9 +42,10 @@
 }
 
 const (
-	callerCount  = 24
-	drainTimeout = 2 * time.Second // the setting bounds.drain_ms
-	gracePeriod  = 8 * time.Second // the setting bounds.grace_s
+	callerCount   = 24
+	drainTimeout  = 2 * time.Second // the setting bounds.drain_ms
+	configTimeout = 2 * time.Second // the setting bounds.config_ms
+	gracePeriod   = 8 * time.Second // the setting bounds.grace_s
 )
 
 // Names and sizes of the deployment.
@@ -102,6 +103,8 @@
 type entry struct {
 	process
 	callers, ready string
+	storeLink      *link
+	linkMbps       float64
 }
 
 // shape is what the servers of a fleet are and how they stream.
@@ -109,6 +112,9 @@
 	servers    []serverKind
 	eventCount int           // of a streamed answer
 	eventPace  time.Duration // between events
+	// slowRate is the rate in bytes a second at which all entries but the first two reach the
+	// store; 0 for no limit.
+	slowRate float64
 }
 
 // serverKind is the stage and the version of the software of a server.
@@ -135,6 +141,7 @@
 	entries      []*entry
 	agents       []*process // beside the servers
 	version      int
+	moreRoutes   int // that get no requests
 	disturbances disturbances
 	copies       []standin.Copy // of the store, to be restored
 	keys         keyring
@@ -157,6 +164,11 @@
 		e := &entry{process: process{fleet: f, name: fmt.Sprint("entry", i), ip: fmt.Sprint(net, i+1)}}
 		e.callers, e.ready = fmt.Sprint(e.ip, ":", callersPort), fmt.Sprint(e.ip, ":", readyPort)
 		e.settingsFile = filepath.Join(t.TempDir(), e.name+".toml")
+		e.storeLink, e.linkMbps = f.store.link, 1000
+		if sh.slowRate > 0 && i >= 2 {
+			e.storeLink, e.linkMbps = newLink(t, testaddr.Reserve(t).Addr(), f.store.Addr()), sh.slowRate*8/1e6
+			e.storeLink.rate = sh.slowRate
+		}
 		e.writeSettings(net)
 		f.entries = append(f.entries, e)
 		e.start()
@@ -173,7 +185,8 @@
 	s := standin.NodeSettings{
 		Name: e.name, IP: e.ip, DataCentre: dataCentre, FirstPort: firstPort, LastPort: lastPort, Seeds: []string{net + "1:1", net + "2:1"},
 		Callers: e.callers, Ready: e.ready, MemoryMB: 500, Grace: gracePeriod, Drain: drainTimeout,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.fleet.store.link.addr, Revoke: revokeTime,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Store: e.storeLink.addr, Revoke: revokeTime,
+		LinkMbps: e.linkMbps, Config: configTimeout,
 	}
 	if err := os.WriteFile(e.settingsFile, []byte(s.Text()), 0o600); err != nil {
 		e.fleet.t.Fatal(err)
@@ -245,15 +258,19 @@
 
 // publish writes the configuration to the store.
 func (f *fleet) publish() {
+	routes := []standin.Route{
+		{Path: "/once/", Kind: "unsafe", Service: plainService, Attempts: 1},
+		{Path: "/safe/", Kind: "safe", Service: plainService, Attempts: 2},
+		{Path: "/stream/", Kind: "streaming", Service: modelService, Attempts: 1},
+		{Path: "/resumable/", Kind: "streaming", Service: modelService, Attempts: 2, Resumable: true},
+	}
+	for i := range f.moreRoutes {
+		routes = append(routes, standin.Route{Path: fmt.Sprintf("/unused-%d/", i), Kind: "safe", Service: plainService, Attempts: 2})
+	}
 	f.store.Configure(standin.Config{
 		Version: f.version, Host: host, Timeout: time.Duration(3000+f.version) * time.Millisecond, Target: 900 * time.Millisecond, Gap: 300 * time.Millisecond,
-		Routes: []standin.Route{
-			{Path: "/once/", Kind: "unsafe", Service: plainService, Attempts: 1},
-			{Path: "/safe/", Kind: "safe", Service: plainService, Attempts: 2},
-			{Path: "/stream/", Kind: "streaming", Service: modelService, Attempts: 1},
-			{Path: "/resumable/", Kind: "streaming", Service: modelService, Attempts: 2, Resumable: true},
-		},
-		Plain: plainService, Generating: modelService, MaxConnections: 100, Slots: 16, Memory: 60_000, HandleTTL: 500 * time.Millisecond, EventTokens: eventTokens,
+		Routes: routes,
+		Plain:  plainService, Generating: modelService, MaxConnections: 100, Slots: 16, Memory: 60_000, HandleTTL: 500 * time.Millisecond, EventTokens: eventTokens,
 		Organisations: f.keys.byOrganisation(),
 		HeaderBytes:   16 << 10, BodyBytes: 100_000, HeaderTimeout: 3 * time.Second, CallersIdleTimeout: 15 * time.Second,
 	})
@@ -518,24 +535,46 @@
 	}
 }
 
-// checkVersion checks that the last published configuration is in force at an entry.
-func (f *fleet) checkVersion(e *entry) {
-	var state struct {
-		Router struct{ Version int } `json:"router"`
+// entryState is what an entry reports of its knowledge.
+type entryState struct {
+	Version int
+	Servers []struct {
+		ID       string
+		Draining bool
 	}
-	for until := time.Now().Add(readyLimit); state.Router.Version != f.version && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get(fmt.Sprintf("http://%s:%d/debug/state", e.ip, lastPort))
-		if err != nil {
-			continue
+}
+
+// takes reports whether a server gets new requests.
+func (s *entryState) takes(server string) bool {
+	for _, known := range s.Servers {
+		if known.ID == server {
+			return !known.Draining
 		}
-		err = json.NewDecoder(resp.Body).Decode(&state)
-		_ = resp.Body.Close()
-		if err != nil {
-			f.t.Error(err)
+	}
+	return false
+}
+
+// state asks an entry for its state.
+func (e *entry) state() (entryState, error) {
+	var state struct{ Router entryState }
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/debug/state", e.ip, lastPort))
+	if err != nil {
+		return state.Router, err
+	}
+	defer resp.Body.Close()
+	return state.Router, json.NewDecoder(resp.Body).Decode(&state)
+}
+
+// checkVersion checks that the last published configuration is in force at an entry.
+func (f *fleet) checkVersion(e *entry) {
+	var state entryState
+	for until := time.Now().Add(readyLimit); state.Version != f.version && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if got, err := e.state(); err == nil {
+			state = got
 		}
 	}
-	if state.Router.Version != f.version {
-		f.t.Errorf("%s has version %d of the configuration in force, not %d", e.name, state.Router.Version, f.version)
+	if state.Version != f.version {
+		f.t.Errorf("%s has version %d of the configuration in force, not %d", e.name, state.Version, f.version)
 	}
 }
 
