--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -193,7 +193,7 @@
 	// have them in the same order.
 	Services map[string][]*Server
 
-	routesByHost map[string][]*Route
+	routesByHost map[string]*routeIndex
 	// ReadAt is the time at which the registry last confirmed that the snapshot is
 	// complete.
 	ReadAt time.Time
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +103,31 @@
 		}
 	}
 }
+
+// TestRoutesWithAnyPrefixAreFound compares the index of routes with its definition, also for
+// prefixes that do not end with a slash.
+func TestRoutesWithAnyPrefixAreFound(t *testing.T) {
+	is := is.New(t)
+	prefixes := []string{"", "/", "/a", "/a/", "/a/b", "/a/b/", "/a/b/c/", "/ab", "/ab/", "b/"}
+	for subset := range 1 << len(prefixes) {
+		d := New()
+		c := &Config{Version: 1}
+		for i, p := range prefixes {
+			if subset&(1<<i) != 0 {
+				c.Routes = append(c.Routes, Route{Host: "h", Prefix: p})
+			}
+		}
+		d.SetConfig(c)
+		for _, path := range []string{"", "/", "/a", "/a/", "/a/b", "/a/b/", "/a/b/c/d", "/a/bc", "/ab/c", "/b", "b/c", "x"} {
+			want := -1
+			for i, r := range c.Routes {
+				if strings.HasPrefix(path, r.Prefix) && (want < 0 || len(r.Prefix) > len(c.Routes[want].Prefix)) {
+					want = i
+				}
+			}
+			got := d.Current().Route("H", path)
+			is.Equal(got != nil, want >= 0)
+			is.True(got == nil || got.Prefix == c.Routes[want].Prefix)
+		}
+	}
+}
--- a/internal/directory/routes.go
+++ b/internal/directory/routes.go
@@ -6,27 +6,61 @@
 	"strings"
 )
 
-// indexRoutes groups routes by host, sorted by descending length of the prefix.
-func indexRoutes(routes []Route) map[string][]*Route {
-	hosts := map[string][]*Route{}
+// routeIndex finds the routes of one host.
+type routeIndex struct {
+	// segments are the routes by prefix whose prefixes end with a slash, and others the rest by
+	// descending length of the prefix.
+	segments map[string]*Route
+	others   []*Route
+}
+
+// indexRoutes groups routes by host.
+func indexRoutes(routes []Route) map[string]*routeIndex {
+	hosts := map[string]*routeIndex{}
 	for i := range routes {
 		r := &routes[i]
-		hosts[r.Host] = append(hosts[r.Host], r)
+		index, ok := hosts[r.Host]
+		if !ok {
+			index = &routeIndex{segments: map[string]*Route{}}
+			hosts[r.Host] = index
+		}
+		switch _, taken := index.segments[r.Prefix]; {
+		case taken: // the first of two holds
+		case strings.HasSuffix(r.Prefix, "/"):
+			index.segments[r.Prefix] = r
+		default:
+			index.others = append(index.others, r)
+		}
 	}
-	for _, list := range hosts {
-		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	for _, index := range hosts {
+		slices.SortStableFunc(index.others, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return hosts
 }
 
-// Route returns the route of a request: the one with the longest prefix among
-// those of its host. It returns nil when none matches.
-func (s *Snapshot) Route(host, path string) *Route {
-	for _, r := range s.routesByHost[strings.ToLower(host)] {
+// find returns the route with the longest prefix of a path; nil if there is none.
+func (x *routeIndex) find(path string) *Route {
+	var found *Route
+	for end := strings.LastIndexByte(path, '/'); end >= 0 && found == nil; end = strings.LastIndexByte(path[:end], '/') {
+		found = x.segments[path[:end+1]]
+	}
+	for _, r := range x.others {
+		if found != nil && len(r.Prefix) < len(found.Prefix) {
+			break
+		}
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
 	}
+	return found
+}
+
+// Route returns the route of a request: the one with the longest prefix among
+// those of its host. It returns nil when none matches.
+func (s *Snapshot) Route(host, path string) *Route {
+	if index := s.routesByHost[strings.ToLower(host)]; index != nil {
+		return index.find(path)
+	}
 	return nil
 }
 
--- a/internal/router/moves.go
+++ b/internal/router/moves.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -17,27 +18,58 @@
 	if former == nil || next == nil {
 		return
 	}
+	before := newFormerRoutes(former, next)
 	for i := range next.Routes {
-		if r := &next.Routes[i]; r.Resumable && moved(r, former, next) {
+		if r := &next.Routes[i]; r.Resumable && before.moved(r) {
 			f.movedAt[r.Name] = now
 		}
 	}
 }
 
-// moved reports whether requests of a route may have gone to other services before.
-func moved(r *directory.Route, former, next *directory.Config) bool {
-	listed := false
+// routeKey identifies a route by what selects it.
+type routeKey struct{ host, prefix string }
+
+func (k routeKey) compare(o routeKey) int {
+	return cmp.Or(strings.Compare(k.host, o.host), strings.Compare(k.prefix, o.prefix))
+}
+
+// formerRoutes are the resumable routes of a former configuration.
+type formerRoutes struct {
+	shares map[routeKey][]directory.TrafficShare
+	// withdrawn are those that the next configuration has no more, sorted.
+	withdrawn []routeKey
+}
+
+func newFormerRoutes(former, next *directory.Config) *formerRoutes {
+	out := &formerRoutes{shares: map[routeKey][]directory.TrafficShare{}}
+	kept := make(map[routeKey]bool, len(next.Routes))
+	for i := range next.Routes {
+		kept[routeKey{next.Routes[i].Host, next.Routes[i].Prefix}] = true
+	}
 	for i := range former.Routes {
-		o := &former.Routes[i]
-		switch {
-		case o.Host != r.Host || !strings.HasPrefix(o.Prefix, r.Prefix) || !o.Resumable:
-		case o.Prefix == r.Prefix:
-			listed = slices.Equal(o.Shares, r.Shares)
-		case !slices.ContainsFunc(next.Routes, func(n directory.Route) bool { return n.Host == o.Host && n.Prefix == o.Prefix }):
-			return true // a route within it was withdrawn
+		r := &former.Routes[i]
+		key := routeKey{r.Host, r.Prefix}
+		if !r.Resumable {
+			continue
+		}
+		if out.shares[key] = r.Shares; !kept[key] {
+			out.withdrawn = append(out.withdrawn, key)
 		}
 	}
-	return !listed
+	slices.SortFunc(out.withdrawn, routeKey.compare)
+	return out
+}
+
+// moved reports whether requests of a route may have gone to other services before: to those of
+// the same route, or of one within it that was withdrawn.
+func (f *formerRoutes) moved(r *directory.Route) bool {
+	key := routeKey{r.Host, r.Prefix}
+	if shares, ok := f.shares[key]; !ok || !slices.Equal(shares, r.Shares) {
+		return true
+	}
+	// The routes within it follow it in the order.
+	i, _ := slices.BinarySearchFunc(f.withdrawn, key, routeKey.compare)
+	return i < len(f.withdrawn) && f.withdrawn[i].host == r.Host && strings.HasPrefix(f.withdrawn[i].prefix, r.Prefix)
 }
 
 // unmovedFor reports whether a route has had the services that it has for a time, or for as long
