--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -203,6 +203,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if snap = f.directory.Current(); f.synced == snap { // it may have changed before the lock was had
+		return
+	}
 	f.recordSoftwareLocked(snap, time.Now())
 	configured := f.synced != nil && f.synced.Config == snap.Config
 	if !configured && f.synced != nil {
--- a/internal/router/moves_test.go
+++ b/internal/router/moves_test.go
@@ -47,3 +47,20 @@
 		}
 	}
 }
+
+// TestSyncNeverGoesBackToAnOlderSnapshot guards against requests that are handled by an older state
+// after a newer one was in use, since a goroutine waited for the lock with the older one.
+func TestSyncNeverGoesBackToAnOlderSnapshot(t *testing.T) {
+	is := is.New(t)
+	d := directory.New()
+	f := newFleet(d, "dc", nil)
+	d.SetConfig(&directory.Config{Version: 1})
+	f.mu.RLock()
+	done := make(chan struct{})
+	go func() { f.sync(); close(done) }()
+	time.Sleep(50 * time.Millisecond) // it waits for the lock
+	d.SetConfig(&directory.Config{Version: 2})
+	f.mu.RUnlock()
+	<-done
+	is.Equal(f.synced.Config.Version, uint64(2))
+}
