--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -272,12 +272,15 @@
 	return true
 }
 
-// ConfirmRead records that the registry answered and that the snapshot is complete.
-// It does not close the channel of Changed.
+// ConfirmRead records that the snapshot was complete at a time. It does not close the channel of
+// Changed.
 func (d *Directory) ConfirmRead(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.Current()
+	if !at.After(next.ReadAt) {
+		return
+	}
 	next.ReadAt = at
 	d.current.Store(&next)
 }
--- a/internal/loadexchange/configs.go
+++ b/internal/loadexchange/configs.go
@@ -177,7 +177,7 @@
 	if c.aheadSince.IsZero() {
 		c.aheadSince = now
 	}
-	if !lost && now.Sub(c.aheadSince) < configDelay && x.readsLocked(now) {
+	if !lost && now.Sub(c.aheadSince) < configDelay && x.rankLocked(now) >= 0 {
 		return nil, nil
 	}
 	if c.fetching != m.ConfigVersion {
--- a/internal/loadexchange/freshness.go
+++ b/internal/loadexchange/freshness.go
@@ -108,16 +108,16 @@
 	return all[:min(len(all), max(minReaders, len(entries)/entriesPerReader))]
 }
 
-// ReadsRegistry reports whether this entry is one of those that ask the registry before the
-// others do.
-func (x *Exchange) ReadsRegistry() bool {
+// RegistryRank returns the position of this entry among those that ask the registry before the
+// others do, the first of which is 0; -1 if it is none of them.
+func (x *Exchange) RegistryRank() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.readsLocked(time.Now())
+	return x.rankLocked(time.Now())
 }
 
-func (x *Exchange) readsLocked(now time.Time) bool {
-	return slices.Contains(x.readersLocked(now), x.options.Self)
+func (x *Exchange) rankLocked(now time.Time) int {
+	return slices.Index(x.readersLocked(now), x.options.Self)
 }
 
 // AskFreshness asks two peers, one of those that ask the registry first and any other one, for
--- a/internal/loadexchange/freshness_test.go
+++ b/internal/loadexchange/freshness_test.go
@@ -63,16 +63,41 @@
 }
 
 // TestFewEntriesReadTheRegistryFirst guards against a registry that all entries ask at once,
-// and against none that does.
+// and against none that does, or small ones while there are larger.
 func TestFewEntriesReadTheRegistryFirst(t *testing.T) {
-	run(t, func(t *testing.T, _ *network, m [3]*member) {
-		is := is.New(t)
-		readers := 0
-		for _, e := range m {
-			if e.ReadsRegistry() {
-				readers++
-			}
-		}
-		is.Equal(readers, minReaders)
-	})
+	for name, c := range map[string]struct {
+		capacities []float64
+		readers    []int // any two if nil
+	}{
+		"alike":           {[]float64{10, 10, 10}, nil},
+		"one is small":    {[]float64{10, 200, 200}, []int{1, 2}},
+		"two are small":   {[]float64{200, 10, 10}, []int{0}},
+		"all are unknown": {[]float64{0, 0, 0}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				var m []*member
+				ranks := map[int]int{}
+				for i, addr := range []string{a, b, "10.0.0.3:7000"} {
+					m = append(m, n.startWith(Options{Self: addr, Seeds: []string{a}, Capacity: c.capacities[i]}, 0))
+				}
+				time.Sleep(3 * time.Second)
+				for i, e := range m {
+					if rank := e.RegistryRank(); rank >= 0 {
+						ranks[rank] = i
+					}
+				}
+				is.Equal(len(ranks), minReaders)
+				for rank, i := range c.readers {
+					is.True(ranks[rank] == i || len(c.readers) == minReaders && ranks[1-rank] == i)
+				}
+				for _, e := range m {
+					e.stop()
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
 }
