--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -79,7 +78,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	to := map[string]bool{}
-	for _, addr := range highestWeights(strconv.FormatUint(uint64(k), 36), x.livePeersLocked(time.Now()), n) {
+	for _, addr := range highestWeights(k.RendezvousKey(), x.livePeersLocked(time.Now()), n) {
 		to[addr] = true
 	}
 	for _, addr := range keepers {
--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -63,10 +63,11 @@
 	}
 	slices.Sort(addrs)
 	addrs = slices.Compact(addrs)
-	return membership.TopByRendezvous(rendezvousKey(stream), addrs, maxAsked)
+	return membership.TopByRendezvous(stream.RendezvousKey(), addrs, maxAsked)
 }
 
-func rendezvousKey(stream Key) string { return strconv.FormatUint(uint64(stream), 36) }
+// RendezvousKey returns the key by which processes are put in the order of a stream.
+func (k Key) RendezvousKey() string { return strconv.FormatUint(uint64(k), 36) }
 
 // choose returns the first n keepers in the order of a stream (rendezvous hashing): those
 // beside servers of its version, and then the others, each time those that stay first.
@@ -88,7 +89,7 @@
 		slices.Sort(addrs)
 		addrs = slices.DeleteFunc(slices.Compact(addrs), func(addr string) bool { return slices.Contains(out, addr) })
 		if len(out) < n {
-			out = append(out, membership.TopByRendezvous(rendezvousKey(stream), addrs, n-len(out))...)
+			out = append(out, membership.TopByRendezvous(stream.RendezvousKey(), addrs, n-len(out))...)
 		}
 	}
 	return out
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -176,17 +176,19 @@
 	if peers == nil {
 		return x.router.origins.Get(k)
 	}
-	var keepers, next []string
-	for _, beside := range x.router.fleet.allKeepers() {
-		keepers = append(keepers, origin.Asked(s.Content, beside)...)
-		next = append(next, origin.AskedNext(s.Content, beside)...)
+	// keepers returns the keepers beside the servers of all services that choose selects.
+	keepers := func(choose func(origin.Key, []origin.Keeper) []string) (all []string) {
+		for _, beside := range x.router.fleet.allKeepers() {
+			all = append(all, choose(s.Content, beside)...)
+		}
+		return all
 	}
-	if !peers.AskOrigin(k, s, keepers) {
+	if !peers.AskOrigin(k, s, keepers(origin.Asked)) {
 		return x.router.origins.Get(k)
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, s, next) })
+	again := time.AfterFunc(askInterval, func() { peers.AskOrigin(k, s, keepers(origin.AskedNext)) })
 	defer again.Stop()
 	o, known = x.router.origins.Wait(ctx, k)
 	if known && x.call.Resumes == "" {
