A configuration counts as lost only if its sender knows when it was written

A peer that took a former version from another one does not know the state in which it was written; taking that of the servers instead could refuse keys for a moment.

--- a/internal/loadexchange/configs.go
+++ b/internal/loadexchange/configs.go
@@ -1,7 +1,6 @@
 package loadexchange
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -79,9 +78,9 @@
 	burst    int
 }
 
-// SetConfig sets the configuration in force and its published text, which peers that have
-// an older one ask for, with the state of the registry in which it was written: one that starts after the registry came back older finds the newer
-// one nowhere else. The text must not be modified.
+// SetConfig sets the configuration in force with its published text, for which peers ask that have
+// an older one, and the state of the registry in which it was written. One that starts after the
+// registry came back older finds the newer one nowhere else. The text must not be modified.
 func (x *Exchange) SetConfig(version uint64, text []byte, at directory.Version) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -140,8 +139,7 @@
 // lostLocked reports whether the registry has lost the configuration of the sender of a
 // message: this entry has read at least the same state and found an older one.
 func (x *Exchange) lostLocked(m *message) bool {
-	// Entries of former software name one state for both.
-	written := directory.Version{Era: m.RegistryEra, Revision: cmp.Or(m.ConfigRevision, m.RegistryRevision)}
+	written := directory.Version{Era: m.RegistryEra, Revision: m.ConfigRevision} // 0 if the sender does not know it
 	return m.ConfigVersion > x.configs.version && x.configs.version > 0 && written.Revision > 0 && !x.configRead.Before(written)
 }
 
