--- a/internal/loadexchange/freshness.go
+++ b/internal/loadexchange/freshness.go
@@ -108,12 +108,13 @@
 	return all[:min(len(all), max(minReaders, len(entries)/entriesPerReader))]
 }
 
-// RegistryRank returns the position of this entry among those that ask the registry before the
-// others do, the first of which is 0; -1 if it is none of them.
-func (x *Exchange) RegistryRank() int {
+// RegistryPosition returns the position of this entry among those that ask the registry before the
+// others do, the first of which is 0, and their number. The position is -1 if it is none of them.
+func (x *Exchange) RegistryPosition() (rank, readers int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.rankLocked(time.Now())
+	all := x.readersLocked(time.Now())
+	return slices.Index(all, x.options.Self), len(all)
 }
 
 func (x *Exchange) rankLocked(now time.Time) int {
--- a/internal/loadexchange/freshness_test.go
+++ b/internal/loadexchange/freshness_test.go
@@ -85,7 +85,7 @@
 				}
 				time.Sleep(3 * time.Second)
 				for i, e := range m {
-					if rank := e.RegistryRank(); rank >= 0 {
+					if rank, _ := e.RegistryPosition(); rank >= 0 {
 						ranks[rank] = i
 					}
 				}
