Entries learn changes of servers from each other (DRAIN)

Callers saw: an entry that the store turns away, while it serves the others, sent requests to servers that had left: it learnt versions from peers, but not which servers leave.

Cause: the answer of a peer confirmed what was known or told that there is news; the news itself had to come from the store.

Change: the question for the age of a peer's knowledge names the state that is known, and the answer has the changes of servers after it, as the store published them: they pass the same code as the answer of a watch.

--- a/internal/loadexchange/freshness.go
+++ b/internal/loadexchange/freshness.go
@@ -19,6 +19,18 @@
 	// Confirmed is called with what a peer knew when it answered a question that was asked at
 	// a time on that clock.
 	Confirmed(k Knowledge, asked time.Duration)
+	// ServerChanges returns the changes of servers after a state in their order, or the first of
+	// them; none if not all of them are known.
+	ServerChanges(after directory.Version) []RegistryChange
+}
+
+// RegistryChange is a change of an item as the registry published it.
+type RegistryChange struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
 }
 
 // Knowledge is what an entry knows of the registry, and how old that is.
@@ -31,6 +43,9 @@
 	ConfigVersion uint64
 	// ServersAge and ConfigAge are the times since the registry was in these states.
 	ServersAge, ConfigAge time.Duration
+	// Changes are, in the answer of a peer, the first changes of servers after the state that was
+	// known when it was asked.
+	Changes []RegistryChange
 }
 
 // freshnessPart asks a peer what it knows of the registry, or answers. Ages are in milliseconds,
@@ -38,15 +53,18 @@
 type freshnessPart struct {
 	// Nonce identifies the question.
 	Nonce uint64 `cbor:"1,keyasint"`
-	// Answer is set in answers, and the fields below only there.
-	Answer          bool   `cbor:"2,keyasint,omitempty"`
+	// Era and ServersRevision are the state up to which the sender knows all changes of servers.
 	Era             uint64 `cbor:"3,keyasint,omitempty"`
 	ServersRevision uint64 `cbor:"4,keyasint,omitempty"`
-	ServersAge      int64  `cbor:"5,keyasint,omitempty"`
-	ServersChanged  uint64 `cbor:"6,keyasint,omitempty"`
-	ConfigRevision  uint64 `cbor:"7,keyasint,omitempty"`
-	ConfigAge       int64  `cbor:"8,keyasint,omitempty"`
-	ConfigVersion   uint64 `cbor:"9,keyasint,omitempty"`
+	// Answer is set in answers, and the fields below only there.
+	Answer         bool   `cbor:"2,keyasint,omitempty"`
+	ServersAge     int64  `cbor:"5,keyasint,omitempty"`
+	ServersChanged uint64 `cbor:"6,keyasint,omitempty"`
+	ConfigRevision uint64 `cbor:"7,keyasint,omitempty"`
+	ConfigAge      int64  `cbor:"8,keyasint,omitempty"`
+	ConfigVersion  uint64 `cbor:"9,keyasint,omitempty"`
+	// Changes are the first changes of servers after the state in the question.
+	Changes []RegistryChange `cbor:"10,keyasint,omitempty"`
 }
 
 func roundUp(age time.Duration) int64 { return (age + time.Millisecond - 1).Milliseconds() }
@@ -75,6 +93,7 @@
 	return Knowledge{
 		Servers: at(f.ServersRevision), ServersChanged: at(f.ServersChanged), ServersAge: time.Duration(f.ServersAge) * time.Millisecond,
 		Config: at(f.ConfigRevision), ConfigVersion: f.ConfigVersion, ConfigAge: time.Duration(f.ConfigAge) * time.Millisecond,
+		Changes: f.Changes,
 	}
 }
 
@@ -124,8 +143,9 @@
 // AskFreshness asks two peers, one of those that ask the registry first and any other one, for
 // the age of their knowledge of the registry. What they answer is at least as recent as the
 // time of the question less that age, whatever the datagrams took and whatever the clocks of
-// the peers show.
-func (x *Exchange) AskFreshness() {
+// the peers show. known is the state up to which this entry knows all changes of servers: they answer
+// with those after it.
+func (x *Exchange) AskFreshness(known directory.Version) {
 	if x.options.Registry == nil {
 		return
 	}
@@ -143,7 +163,7 @@
 		}
 	}
 	delete(to, x.options.Self)
-	x.send(&message{Incarnation: x.incarnation, Freshness: &freshnessPart{Nonce: nonce}}, to)
+	x.send(&message{Incarnation: x.incarnation, Freshness: &freshnessPart{Nonce: nonce, Era: known.Era, ServersRevision: known.Revision}}, to)
 }
 
 // exchangeFreshness answers a question of a peer, or records an answer.
@@ -154,6 +174,9 @@
 	if !f.Answer {
 		if k, ok := x.options.Registry.Known(); ok {
 			if answer := answerFreshness(f.Nonce, k); answer != nil {
+				if asked := (directory.Version{Era: f.Era, Revision: f.ServersRevision}); asked.Before(k.ServersChanged) {
+					answer.Changes = x.options.Registry.ServerChanges(asked)
+				}
 				x.send(&message{Incarnation: x.incarnation, Freshness: answer}, map[string]bool{from: true})
 			}
 		}
--- a/internal/loadexchange/freshness_test.go
+++ b/internal/loadexchange/freshness_test.go
@@ -33,6 +33,8 @@
 	}
 }
 
+func (r *registry) ServerChanges(directory.Version) []RegistryChange { return nil }
+
 // TestFreshnessIsNeverOverstated guards against withdrawn keys that are used on since clocks
 // differ or datagrams take long: what a peer confirms is as old at least as what it knows.
 func TestFreshnessIsNeverOverstated(t *testing.T) {
@@ -46,13 +48,13 @@
 		peer := n.startWith(Options{Self: a, Registry: reader}, 0)
 		asker := n.startWith(Options{Self: b, Seeds: []string{a}, Registry: other}, 0)
 		time.Sleep(2 * time.Second)
-		asker.AskFreshness()
+		asker.AskFreshness(directory.Version{})
 		synctest.Wait()
 		// The reader has known the state since its start and nothing since then.
 		is.True(time.Duration(other.confirmed.Load()) <= time.Minute)
 		is.True(time.Duration(other.confirmed.Load()) > time.Minute-50*time.Millisecond)
 		reader.asOf.Store(int64(time.Hour + 2*time.Second))
-		asker.AskFreshness()
+		asker.AskFreshness(directory.Version{})
 		synctest.Wait()
 		is.True(time.Duration(other.confirmed.Load()) <= time.Minute+2*time.Second)
 		is.True(time.Duration(other.confirmed.Load()) > time.Minute+1900*time.Millisecond)
