Servers that found a prefill result expired are chosen before those that are silent

Cause: an expired result counted as a failure of the decode server, like silence. With both servers failed, the emptier one was chosen: the paused one.

Change: a decode server at which a result had expired is avoided only while others are left that work. Agents report the expiry as not_found, and the final error for the caller never is that.

--- a/internal/agent/commands_decode.go
+++ b/internal/agent/commands_decode.go
@@ -188,6 +188,8 @@
 		return apierror.Unknown(apierror.KindUnavailable, err.Error(), "try another backend server")
 	}
 	switch {
+	case refusal.Code == http.StatusNotFound:
+		return apierror.NotRun(apierror.KindNotFound, refusal.Text, "send a new attempt")
 	case refusal.Code == http.StatusServiceUnavailable:
 		return apierror.NotRun(apierror.KindOverloaded, refusal.Text, "try another backend server")
 	case refusal.Code < http.StatusInternalServerError:
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -168,6 +168,28 @@
 	})
 }
 
+// TestExpiredResultLeadsNotBackToAFrozenEngine guards against a request that fails although a server
+// can run it, since all further attempts go to the frozen one.
+func TestExpiredResultLeadsNotBackToAFrozenEngine(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *fleet) {
+		busy, other := f.engines["decode-1"], f.engines["decode-2"]
+		for i := range 3 { // one of the engines looks empty
+			f.sendPrompt("entry-1", fmt.Sprint("other ", i), false, nil)
+			time.Sleep(135 * time.Millisecond)
+		}
+		if busy.heldRequests() < other.heldRequests() {
+			busy, other = other, busy
+		}
+		x := f.sendPrompt("entry-1", "q", false, nil)
+		time.Sleep(115 * time.Millisecond)
+		other.setState(false, true)
+		busy.expireNext()
+		<-x.done
+		is.True(f.prefills("q") <= 3)
+		is.Equal(x.answerText(), answer("q"))
+	})
+}
+
 // TestCallerResumesThroughAnotherEntry also guards against state of a resumable answer that
 // entries alone hold. If the agent starts again too, nothing runs again.
 func TestCallerResumesThroughAnotherEntry(t *testing.T) {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -59,7 +59,9 @@
 	prefillCount map[string]int // prefills by prompt
 	dead         bool
 	frozen       bool
-	changed      chan struct{} // closed and replaced when dead or frozen change
+	// expired is the number of imports that find no prefill result.
+	expired int
+	changed chan struct{} // closed and replaced when dead or frozen change
 }
 
 func newFakeEngine(name string, all map[string]*fakeEngine) *fakeEngine {
@@ -102,6 +104,13 @@
 	e.changed = make(chan struct{})
 }
 
+// expireNext makes the next import find no prefill result.
+func (e *fakeEngine) expireNext() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expired++
+}
+
 func (e *fakeEngine) heldRequests() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -250,7 +259,11 @@
 	}
 	source := c.all[in.Source]
 	result := source.get(in.Handle)
-	if result == nil {
+	c.mu.Lock()
+	expired := c.expired > 0
+	c.expired = max(c.expired-1, 0)
+	c.mu.Unlock()
+	if result == nil || expired {
 		return engine.ImportResult{}, &engine.StatusError{Code: http.StatusNotFound, Text: "evicted"}
 	}
 	r := &fakeRequest{phase: "import", prompt: result.prompt, delivered: result.delivered}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -34,7 +34,10 @@
 	// value is true if the scheduler must avoid the server: the decode had started,
 	// or the prefill or the KV transfer failed.
 	failedServers map[string]bool
-	out           answerWriter
+	// answeredServers are the decode servers that found no prefill result to fetch. They work,
+	// and are avoided only while there are others.
+	answeredServers map[string]bool
+	out             answerWriter
 	// grace is the time for which a caller that has disconnected may resume the
 	// request.
 	grace time.Duration
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -29,7 +29,7 @@
 // returns the finish reason. A running attempt, if not nil, is continued first.
 // The error is an *apierror.Error.
 func (e *Entry) runJob(ctx context.Context, j *job, running *reservation) (string, error) {
-	j.failedServers = map[string]bool{}
+	j.failedServers, j.answeredServers = map[string]bool{}, map[string]bool{}
 	for withoutToken := 0; ; {
 		deliveredBefore := len(j.delivered)
 		reason, err := e.runAttempt(ctx, j, running)
@@ -87,6 +87,8 @@
 		out.Kind, out.Message, out.Remedy = apierror.KindDeadlineExceeded, "the request took too long", "send it again, or a shorter prompt"
 	case ctx.Err() != nil:
 		out.Kind, out.Message = apierror.KindCancelled, "the caller cancelled the request"
+	case out.Kind == apierror.KindNotFound: // an attempt or a prefill result, not what the caller asked for
+		out.Kind = apierror.KindUnavailable
 	}
 	switch {
 	case len(j.delivered) > 0 && j.out.streams():
@@ -179,9 +181,13 @@
 }
 
 // markTransferFailed records the decode server of a failed KV transfer as
-// failed. If the outcome is unknown, either side may be at fault, so it records
-// the prefill server as well.
+// failed, unless it only found that the prefill result had expired. If the outcome is
+// unknown, either side may be at fault, so it records the prefill server as well.
 func (j *job) markTransferFailed(res *reservation, err error) {
+	if apierror.Is(err, apierror.KindNotFound) {
+		j.answeredServers[res.decode.server.Name] = true
+		return
+	}
 	j.failedServers[res.decode.server.Name] = true
 	if apierror.From(err).Outcome != apierror.OutcomeNotRun {
 		j.failedServers[res.prefill.server.Name] = true
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -101,7 +102,7 @@
 		Goal:         j.goal(),
 		PromptTokens: j.promptTokens + len(j.delivered), MaxTokens: j.maxTokens,
 		Pieces:   protocol.Pieces(j.promptTokens + j.maxTokens),
-		Prefixes: j.prefixes, Urgent: j.urgent, FailedServers: j.failedServers,
+		Prefixes: j.prefixes, Urgent: j.urgent, FailedServers: e.avoidedServers(j),
 	}
 	if len(j.delivered) > 0 && e.otherSoftware(j) {
 		out.MayDecode = func(server string) bool {
@@ -112,6 +113,17 @@
 	return out
 }
 
+// avoidedServers returns the servers that a job avoids. A decode server at which a prefill result
+// had expired is not avoided if those that are left do not work.
+func (e *Entry) avoidedServers(j *job) map[string]bool {
+	avoided := maps.Clone(j.failedServers)
+	maps.Copy(avoided, j.answeredServers)
+	if e.anyDecodeServer(j, func(c *agentConn) bool { return c.usable() && !avoided[c.Name()] }) {
+		return avoided
+	}
+	return j.failedServers
+}
+
 // otherSoftware reports whether a decode server of a job's model has other software than
 // began its answer.
 func (e *Entry) otherSoftware(j *job) bool {
