--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,7 +17,8 @@
 
 // cases return whether the rule was broken. trouble is false for a run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"stray": strayRefusal,
+	"stray":    strayRefusal,
+	"unframed": unframedStream,
 }
 
 func main() {
