review: prompts larger than a server's memory stop the model for all callers

A script with 14 model servers, where one request to the model in eight has a prompt of 200,000 tokens.

--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -31,7 +31,9 @@
 	body   []byte
 	// complete is set if the answer ended as its framing says.
 	complete bool
-	err      error
+	// retryAfter is the advised delay.
+	retryAfter time.Duration
+	err        error
 }
 
 func newID() string {
@@ -91,6 +93,9 @@
 	}
 	defer resp.Body.Close()
 	out = result{status: resp.StatusCode, proven: resp.Header.Get("Response-Seal") != ""}
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		out.retryAfter = time.Duration(s * float64(time.Second))
+	}
 	out.body, out.err = io.ReadAll(resp.Body)
 	out.complete = out.err == nil
 	if resp.Close || !out.complete {
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -203,6 +203,9 @@
 	resumable           bool
 }
 
+// memoryTokens is the memory of a model server.
+const memoryTokens = 74442
+
 // configure publishes the configuration.
 func (f *fleet) configure(version, slots int, routes ...route) {
 	var out []any
@@ -220,7 +223,7 @@
 		"version": version, "routes": out,
 		"services": []any{
 			map[string]any{"name": model, "health_path": "/healthz", "max_connections": 180, "engine": map[string]any{
-				"slots": slots, "kv_tokens": 74442, "kv_bytes": 262144, "stride": 1, "kv_hold_s": handleTTL.Seconds(), "switch_s": 6.0,
+				"slots": slots, "kv_tokens": memoryTokens, "kv_bytes": 262144, "stride": 1, "kv_hold_s": handleTTL.Seconds(), "switch_s": 6.0,
 			}},
 			map[string]any{"name": ledger, "health_path": "/healthz", "max_connections": 110},
 		},
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -18,7 +20,9 @@
 // cases return whether the rule was broken. trouble is false for a run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"stray":    strayRefusal,
+	"grey":     greyRefusal,
 	"unframed": unframedStream,
+	"oversize": oversizePrompts,
 }
 
 func main() {
@@ -45,6 +49,13 @@
 		return exitNotRun
 	}
 	defer f.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		f.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[args[0]](f, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -24,8 +24,10 @@
 	Stage string
 	// Slots is the number of requests that run at once, and Queue that of those that wait.
 	Slots, Queue int
-	// Work is the time of a plain request.
+	// Work is the time of a plain request, and of a prefill beside that of its tokens.
 	Work time.Duration
+	// PrefillRate is in tokens a second; 0 for no time.
+	PrefillRate float64
 	// Gap is the time between two events of a stream.
 	Gap time.Duration
 	// UnframedEvery, if not 0, is the number of streams of which one is answered without a length
@@ -34,7 +36,9 @@
 	// ExtraEvery, if not 0, is the number of answers of which one is followed by additional bytes,
 	// late: where the next answer on the connection is expected.
 	ExtraEvery int
-	// Windows are the times in which the two hold, from Epoch on.
+	// FailEvery, if not 0, is the number of plain requests of which one fails after it has run.
+	FailEvery int
+	// Windows are the times in which these hold, from Epoch on.
 	Windows windows
 	Epoch   int64 // Unix milliseconds
 	// Record is the file to which each run is appended.
@@ -88,10 +92,12 @@
 	f.IntVar(&o.Slots, "slots", 6, "requests at once")
 	f.IntVar(&o.Queue, "queue", 24, "requests that wait")
 	f.DurationVar(&o.Work, "work", 30*time.Millisecond, "time of a plain request")
+	f.Float64Var(&o.PrefillRate, "prefill-rate", 0, "prompt tokens a second")
 	f.DurationVar(&o.Gap, "gap", 200*time.Millisecond, "time between events")
 	f.IntVar(&o.UnframedEvery, "unframed-every", 0, "one stream in so many has no length")
 	f.IntVar(&o.ExtraEvery, "extra-every", 0, "one answer in so many is followed by additional bytes")
-	f.Var(&o.Windows, "windows", "times in which the two hold")
+	f.IntVar(&o.FailEvery, "fail-every", 0, "one plain request in so many fails after it has run")
+	f.Var(&o.Windows, "windows", "times in which these hold")
 	f.Int64Var(&o.Epoch, "epoch", 0, "begin of these times, in Unix milliseconds")
 	f.StringVar(&o.Record, "record", "", "file for the runs")
 }
@@ -99,8 +105,8 @@
 func (o *serverOptions) args() []string {
 	return []string{
 		"server", "-addr", o.Addr, "-id", o.ID, "-stage", o.Stage, "-slots", strconv.Itoa(o.Slots), "-queue", strconv.Itoa(o.Queue),
-		"-work", o.Work.String(), "-gap", o.Gap.String(), "-unframed-every", strconv.Itoa(o.UnframedEvery),
-		"-extra-every", strconv.Itoa(o.ExtraEvery), "-windows", o.Windows.String(), "-epoch", strconv.FormatInt(o.Epoch, 10), "-record", o.Record,
+		"-work", o.Work.String(), "-prefill-rate", fmt.Sprint(o.PrefillRate), "-gap", o.Gap.String(), "-unframed-every", strconv.Itoa(o.UnframedEvery),
+		"-extra-every", strconv.Itoa(o.ExtraEvery), "-fail-every", strconv.Itoa(o.FailEvery), "-windows", o.Windows.String(), "-epoch", strconv.FormatInt(o.Epoch, 10), "-record", o.Record,
 	}
 }
 
@@ -111,9 +117,9 @@
 	places chan struct{} // slots and queue
 	slots  chan struct{}
 
-	answers, streams, handles atomic.Int64
-	mu                        sync.Mutex
-	kept                      map[string]string // request by handle
+	answers, streams, calls, handles atomic.Int64
+	mu                               sync.Mutex
+	kept                             map[string]string // request by handle
 }
 
 // serve runs a server until the process is killed.
@@ -203,6 +209,10 @@
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
 	prefill := x.r.Header.Get("Serving-Stage") == "prefill"
+	if prompt, _ := tokens(x.r.Header); prompt > memoryTokens {
+		s.note("refused %s with a prompt of %d tokens", x.id, prompt)
+		return x.refuse() // larger than the memory: as if it were full
+	}
 	switch {
 	case prefill != (s.Stage == "prefill"):
 		return x.send(http.StatusMisdirectedRequest, "Instance-Id: "+s.ID+"\r\n", "")
@@ -213,6 +223,10 @@
 	}
 	s.note("runs %s %s %s", x.id, x.r.Method, x.r.URL.Path)
 	time.Sleep(s.Work)
+	if s.FailEvery > 0 && s.faulty() && s.calls.Add(1)%int64(s.FailEvery) == 0 {
+		s.note("failed %s after it ran", x.id)
+		return x.send(http.StatusServiceUnavailable, x.load(), "")
+	}
 	return x.send(http.StatusOK, "Response-Seal: seal-"+x.id+"\r\n"+x.load(), "done "+x.id)
 }
 
@@ -248,13 +262,16 @@
 // prefill reads a prompt and keeps the result for handleTTL.
 func (x *exchange) prefill() bool {
 	s := x.s
+	prompt, _ := tokens(x.r.Header)
 	time.Sleep(s.Work)
+	if s.PrefillRate > 0 {
+		time.Sleep(time.Duration(float64(prompt) / s.PrefillRate * float64(time.Second)))
+	}
 	handle := fmt.Sprintf("%s-%d", s.ID, s.handles.Add(1))
 	s.mu.Lock()
 	s.kept[handle] = x.id
 	s.mu.Unlock()
 	time.AfterFunc(handleTTL, func() { s.take(handle) })
-	prompt, _ := tokens(x.r.Header)
 	return x.send(http.StatusOK, "Content-Type: application/json\r\n"+x.load(), fmt.Sprintf(`{"handle":%q,"tokens":%d,"version":1}`, handle, prompt))
 }
 
