--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -104,6 +104,33 @@
 	return out
 }
 
+// leave sends a request on a connection of its own, closes the sending direction after a while, and
+// reads what still comes.
+func leave(addr string, c *call, after time.Duration) (out result) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return result{err: err}
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(c.deadline + time.Second))
+	if _, err := io.WriteString(conn, c.text()); err != nil {
+		return result{err: err}
+	}
+	time.Sleep(after)
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		return result{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: c.method})
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	out = result{status: resp.StatusCode, proven: resp.Header.Get("Response-Seal") != ""}
+	out.body, out.err = io.ReadAll(resp.Body)
+	out.complete = out.err == nil
+	return out
+}
+
 // lastEvent returns the ID of the last event of a stream, and the number of events.
 func lastEvent(body []byte) (last, n int) {
 	for line := range bytes.SplitSeq(body, []byte("\n")) {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"stray":    strayRefusal,
 	"grey":     greyRefusal,
+	"leave":    leavingPayers,
 	"unframed": unframedStream,
 	"oversize": oversizePrompts,
 }
