review: ports of the stand-ins below the ephemeral range

An outgoing connection could take the port of an entry before it listened, and the case could not run.

--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,30 +51,44 @@
 	return f, nil
 }
 
+// Ports of the deployment are below the kernel's ephemeral range, so that no outgoing connection
+// takes one of them before its process listens.
+const (
+	lowestPort = 20_000
+	portRange  = 10_000
+)
+
 // freePorts returns ports that are free on all loopback addresses, in ascending order.
 func freePorts(n int) ([]int, error) {
 	var out []int
-	var held []net.Listener
-	defer func() {
-		for _, ln := range held {
-			_ = ln.Close()
+	for tries := 0; len(out) < n; tries++ {
+		if tries == portRange {
+			return nil, errors.New("no free ports")
 		}
-	}()
-	for len(out) < n {
-		ln, err := net.Listen("tcp4", "0.0.0.0:0") //nolint:gosec // closed at once; only to find a port
-		if err != nil {
-			return nil, err
-		}
-		held = append(held, ln)
-		port := ln.Addr().(*net.TCPAddr).Port
-		if len(out) > 0 && port <= out[len(out)-1] {
-			continue
+		port := lowestPort + rand.IntN(portRange)
+		if !slices.Contains(out, port) && isFree(port) {
+			out = append(out, port)
 		}
-		out = append(out, port)
 	}
+	slices.Sort(out)
 	return out, nil
 }
 
+// isFree reports whether no process uses a port, over TCP or UDP.
+func isFree(port int) bool {
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return false
+	}
+	defer ln.Close()
+	conn, err := net.ListenPacket("udp4", addr)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
 // note appends one line to the record.
 func (f *fleet) note(format string, args ...any) {
 	_, _ = fmt.Fprintf(f.log, "%s "+format+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
