--- a/review/standins/leave.go
+++ b/review/standins/leave.go
@@ -11,9 +11,11 @@
 // limit: they close their side of the connection and read what still comes.
 func leavingPayers(f *fleet, trouble bool) (bool, error) {
 	const (
-		// leaveEvery is 1 payer in 5, and leaveWithin half the objective, within which they leave.
+		// leaveEvery is 1 payer in 5, and leaveWithin half the objective, within which they leave,
+		// for leaveTime at a time.
 		leaveEvery  = 5
 		leaveWithin = 75 * time.Millisecond
+		leaveTime   = 5 * time.Second
 		leavers     = 15
 	)
 	f.configure(1, 16, route{path: "/pule252/", kind: "unsafe", service: ledger, timeout: 800 * time.Millisecond, target: 2 * leaveWithin, attempts: 1})
@@ -28,6 +30,8 @@
 	}
 	var mu sync.Mutex
 	unproven := map[string]bool{}
+	left := 0
+	begin, leaving := time.Now(), spaced(4, leaveTime)
 	answers := map[string]int{}
 	var all sync.WaitGroup
 	for p := range leavers {
@@ -38,7 +42,7 @@
 			for n := range payments / 2 {
 				c := call{id: newID(), method: http.MethodPost, path: "/pule252/2f", deadline: 1500 * time.Millisecond, body: "amount=1"}
 				var r result
-				leaves := trouble && p%leaveEvery == 0
+				leaves := trouble && p%leaveEvery == 0 && leaving.hold(begin)
 				if after := leaveWithin * time.Duration(n%10) / 10; leaves {
 					r = leave(addr, &c, after)
 				} else {
@@ -46,6 +50,9 @@
 				}
 				f.note("payer %d sent %s, left: %t, answer %d, proof: %t, %q %v", p, c.id, leaves, r.status, r.proven, r.body, r.err)
 				mu.Lock()
+				if leaves {
+					left++
+				}
 				answers[fmt.Sprintf("%d, proof %t", r.status, r.proven)]++
 				if r.status/100 == 2 && !r.proven {
 					unproven[c.id] = true
@@ -67,7 +74,7 @@
 			lost++
 		}
 	}
-	result := fmt.Sprintf("answers: %v; %d successes without the proof, of which %d payments never ran", answers, len(unproven), lost)
+	result := fmt.Sprintf("answers: %v; %d payers left; %d successes without the proof, of which %d payments never ran", answers, left, len(unproven), lost)
 	f.note("result: %s", result)
 	fmt.Println(result)
 	return len(unproven) > 0, nil
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -79,12 +79,15 @@
 	return nil
 }
 
-// faulty reports whether the server is faulty now.
-func (o *serverOptions) faulty() bool {
-	since := time.Since(time.UnixMilli(o.Epoch))
-	return slices.ContainsFunc(o.Windows, func(w window) bool { return since >= w.from && since < w.until })
+// hold reports whether one of the windows holds now.
+func (w windows) hold(epoch time.Time) bool {
+	since := time.Since(epoch)
+	return slices.ContainsFunc(w, func(o window) bool { return since >= o.from && since < o.until })
 }
 
+// faulty reports whether the server is faulty now.
+func (o *serverOptions) faulty() bool { return o.Windows.hold(time.UnixMilli(o.Epoch)) }
+
 func (o *serverOptions) flags(f *flag.FlagSet) {
 	f.StringVar(&o.Addr, "addr", "", "address")
 	f.StringVar(&o.ID, "id", "", "ID in the registry")
