--- a/internal/dispatch/compete.go
+++ b/internal/dispatch/compete.go
@@ -118,18 +118,8 @@
 // their class.
 const agingLarge = 2
 
-// lateRank is the distance between the ranks of late jobs and of others; priorities are below
-// it.
-const lateRank = 1000
-
-// rank returns the rank in the queue for a priority.
-func (j *Job) rank(priority int) int {
-	priority = min(max(priority, 0), lateRank-1)
-	if j.Late {
-		return lateRank + priority
-	}
-	return priority
-}
+// rank returns the rank of the job in the queue.
+func (j *Job) rank() int { return max(j.Priority, 0) }
 
 // Large jobs find room less often than others, since the memory that is freed is soon too
 // small for them again. A prompt above largePrompt times the mean goes ahead of its arrival
@@ -167,7 +157,7 @@
 		count, every = &p.lessUrgentLarge, agingLarge
 	}
 	if *count++; *count%every == 0 {
-		w.job.Priority = j.rank(j.MostUrgent)
+		w.job.Priority = max(j.MostUrgent, 0)
 	}
 }
 
@@ -272,7 +262,7 @@
 	if !c.enabled || len(p.decodeViews) == 0 {
 		return
 	}
-	l := c.level(w.request.rank(w.request.Priority))
+	l := c.level(w.request.rank())
 	l.missed.Add((float64(w.request.PromptTokens) + w.need.AnswerTokens) / float64(max(p.decodeViews[0].Pieces(), 1)))
 	l.missedAt, l.missedTarget = now, w.request.Goal.FirstToken
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -510,8 +510,6 @@
 	// Competing is set for the jobs of a deployment that distinguishes its callers, so that
 	// none of them is starved: large jobs then go ahead of their arrival.
 	Competing bool
-	// Late jobs, which can not meet their caller's target any more, go after all others.
-	Late bool
 	// Weight is the provider's weight in fair sharing.
 	Weight float64
 	Goal   admission.Goal
@@ -530,9 +528,6 @@
 	Pieces int
 	// Prefixes are the hashes of those prefixes of the prompt that fill whole pieces.
 	Prefixes []uint64
-	// ReservedShare is the fraction of a decode server's memory that must stay free
-	// for other jobs, from 0 to 1.
-	ReservedShare float64
 	// Urgent jobs continue an earlier attempt. They go first and are not refused for
 	// missing their target.
 	Urgent bool
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -88,14 +88,14 @@
 	w.need = placement.Request{
 		PromptTokens: j.PromptTokens, Pieces: j.Pieces,
 		AnswerTokens:  p.answerTokens(j),
-		BetweenTokens: j.Goal.BetweenTokens, Caution: j.Goal.Caution, ReservedShare: j.ReservedShare,
+		BetweenTokens: j.Goal.BetweenTokens, Caution: j.Goal.Caution,
 	}
 	w.use = Use{
 		Prefill: placement.Use{Tokens: j.PromptTokens},
-		Decode:  placement.Use{Slots: 1, Pieces: j.Pieces, Run: &placement.Run{Prompt: j.PromptTokens, Answer: w.need.AnswerTokens, Priority: j.rank(j.Priority)}},
+		Decode:  placement.Use{Slots: 1, Pieces: j.Pieces, Run: &placement.Run{Prompt: j.PromptTokens, Answer: w.need.AnswerTokens, Priority: j.rank()}},
 	}
 	w.job = schedule.Job{
-		Provider: j.Provider, Priority: j.rank(j.Priority), Weight: j.Weight, Goal: j.Goal, Arrived: p.d.Now() - j.Waited,
+		Provider: j.Provider, Priority: j.rank(), Weight: j.Weight, Goal: j.Goal, Arrived: p.d.Now() - j.Waited,
 		MinTimeToFirstToken: p.planner.MinTimeToFirstToken(j.PromptTokens), PrefillMillis: p.planner.PrefillMillis(j.PromptTokens), Urgent: j.Urgent, Owner: w,
 	}
 	return w
@@ -226,7 +226,7 @@
 // prepare sets the fields of the placement request that change between decisions.
 func (p *pool[S]) prepare(w *Waiter[S]) {
 	w.need.Now = p.d.Now()
-	w.need.ReservedShare = max(w.request.ReservedShare, p.reserve(w))
+	w.need.ReservedShare = p.reserve(w)
 	p.hits = p.index.Lookup(w.request.Prefixes, p.hits[:0])
 	w.need.Hits = p.hits
 	p.markFailed(w)
--- /dev/null
+++ b/internal/router/callers_test.go
@@ -0,0 +1,136 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/router"
+)
+
+// pacedStream is a stream with an event after each pause.
+type pacedStream struct {
+	events int
+	pause  time.Duration
+}
+
+func (s *pacedStream) Read(p []byte) (int, error) {
+	if s.events == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(s.pause)
+	s.events--
+	return copy(p, "id: 1\ndata: x\n\n"), nil
+}
+
+// The streams of these tests have answers of streamEvents events in streamTime. A decode server
+// has memory for about streamsPerServer of them.
+const (
+	streamEvents     = 70
+	streamTime       = 2 * time.Second
+	streamsPerServer = 7
+)
+
+// streams makes the decode servers answer with such streams.
+func (f *fleet) streams() {
+	f.servers.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
+		return reply(200, &pacedStream{events: streamEvents, pause: streamTime / streamEvents}), nil
+	})
+}
+
+// received counts what callers got.
+type received struct {
+	asked, served, onTime, refused int
+	// slowestRefusal is the longest time until a refusal.
+	slowestRefusal time.Duration
+}
+
+func share(n int, of received) float64 { return float64(n) / float64(of.asked) }
+
+// ask sends calls at an interval, each from the next of callers in turn, and returns what these
+// got. A stream is on time if its answer began within the target.
+func (f *fleet) ask(calls int, every time.Duration, callers ...func() *router.Call) []received {
+	out := make([]received, len(callers))
+	var mu sync.Mutex // guards out
+	var all sync.WaitGroup
+	for i := range calls {
+		all.Go(func() {
+			a := &timedAnswer{began: time.Now()}
+			f.Serve(context.Background(), callers[i%len(callers)](), a)
+			mu.Lock()
+			defer mu.Unlock()
+			r := &out[i%len(callers)]
+			r.asked++
+			switch {
+			case a.failure != nil && a.failure.Outcome == apierror.OutcomeNotRun:
+				r.refused++
+				r.slowestRefusal = max(r.slowestRefusal, time.Since(a.began))
+			case a.failure == nil && !a.aborted:
+				r.served++
+				if a.first <= target {
+					r.onTime++
+				}
+			}
+		})
+		time.Sleep(every)
+	}
+	all.Wait()
+	return out
+}
+
+// timedAnswer records when an answer began.
+type timedAnswer struct {
+	recordedAnswer
+	began time.Time
+	first time.Duration
+}
+
+func (a *timedAnswer) Write(p []byte) error {
+	if a.first == 0 {
+		a.first = time.Since(a.began)
+	}
+	return a.recordedAnswer.Write(p)
+}
+
+// within returns callers of a path that have a time limit.
+func within(path string, limit time.Duration) func() *router.Call {
+	return func() *router.Call {
+		c := newCall(path)
+		c.Deadline = c.Arrived.Add(limit)
+		return c
+	}
+}
+
+// TestCallersAreServedAlikeWhateverTheirTimeLimit guards callers whose time limit is shorter than
+// that of others against being taken for callers that come back.
+func TestCallersAreServedAlikeWhateverTheirTimeLimit(t *testing.T) {
+	const (
+		calls       = 600
+		every       = streamTime / (2 * streamsPerServer * 3) // twice the capacity
+		maxDistance = 0.15                                    // three standard errors of the difference of two shares of 200
+	)
+	for _, competing := range []bool{false, true} {
+		t.Run(fmt.Sprint("competing ", competing), func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				if competing {
+					f.compete()
+				}
+				f.streams()
+				got := f.ask(calls, every, within("/stream/x", 14*time.Second), within("/stream/x", 10*time.Second), within("/stream/x", 5*time.Second))
+				t.Logf("%+v", got)
+				for _, r := range got {
+					is.True(math.Abs(share(r.served, r)-share(got[0].served, got[0])) < maxDistance)
+					is.True(math.Abs(share(r.onTime, r)-share(got[0].onTime, got[0])) < maxDistance)
+				}
+			})
+		})
+	}
+}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -26,8 +26,6 @@
 	answer  Answer
 	route   *directory.Route
 	service string
-	// fresh is set for a call that is known to be its caller's first.
-	fresh bool
 	// organisation is nil for requests without one.
 	organisation *directory.Organisation
 	// quotaCost is the cost of the call in the units of the organisation's quota, and quotaLevel
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -38,19 +38,6 @@
 	// maxRetryShare is the largest fraction of the caller's remaining time that is
 	// advised as delay; callers ignore longer delays.
 	maxRetryShare = 1.0 / 3
-	// returnedShare is the fraction of the longest time limit of a route below which
-	// a caller is assumed to have been refused before and to have returned. Limits of
-	// first calls vary by less; a caller that followed the advised delay has lost more.
-	returnedShare = 0.82
-	// returnedQueuePenalty is the time by which returned requests, which miss their
-	// target in any case, queue behind those that can still meet it.
-	returnedQueuePenalty = 1500 * time.Millisecond
-	// returnedTarget is the time within which returned requests are served or refused.
-	returnedTarget = 1200 * time.Millisecond
-	// returnedReserve is the fraction of a decode server's memory that returned
-	// requests leave free for those that can still meet their target: a run holds its
-	// memory for seconds, during which the others would find none.
-	returnedReserve = 0.15
 	// maxFurtherRuns is the maximum number of runs of one call after the first.
 	maxFurtherRuns = 3
 )
@@ -123,7 +110,7 @@
 	case errors.Is(err, errSoftwareGone):
 		x.fail(apierror.NotRun(apierror.KindUnavailable, err.Error(), "send the request again without the events that were received"))
 	case errors.As(err, &refusal):
-		x.warn("refused by prediction", append(refusal.State.LogFields(), "target_ms", x.route.LatencyTarget.Milliseconds(), "returned", x.returned(), "priority", x.priority(), "organisation", x.organisationName())...)
+		x.warn("refused by prediction", append(refusal.State.LogFields(), "target_ms", x.route.LatencyTarget.Milliseconds(), "priority", x.priority(), "organisation", x.organisationName())...)
 		x.fail(apierror.NotRun(apierror.KindOverloaded, refusal.Reason, "retry after the delay").WithRetryAfter(x.retryAfter()))
 	case errors.Is(err, errSuspected):
 		x.fail(x.refuseSuspected())
@@ -137,34 +124,15 @@
 	return min(sleep.Jitter(refusedRetry), maxAdvisedDelay(x.call))
 }
 
-// returned reports whether the caller was probably refused before, so that it can
-// no longer be answered within its target. One that takes up a stream has little of its time
-// left for another reason, and holds a part of its answer.
-func (x *exchange) returned() bool {
-	if x.fresh || x.knownBy != "" {
-		return false
-	}
-	wait := x.call.Deadline.Sub(x.call.Arrived)
-	return wait < time.Duration(returnedShare*float64(x.router.observeMaxWait(x.route.Name, wait)))
-}
-
 // newJob describes the call for admission and placement.
 func (x *exchange) newJob(urgent bool) *dispatch.Job {
 	c := x.call
-	reserve := 0.0
-	goal, waited := admission.Goal{FirstToken: x.route.LatencyTarget, BetweenTokens: x.route.GapTarget}, time.Since(c.Arrived)
-	returned := x.returned() && !urgent
 	competing := x.competing()
-	if returned {
-		goal.FirstToken = returnedTarget
-		waited -= returnedQueuePenalty
-		reserve = returnedReserve
-	}
 	j := &dispatch.Job{
 		Model: x.service, Provider: x.organisationName(), Priority: x.priority(), MostUrgent: x.router.prioritiesOf(x.service).lowest,
-		Competing: competing, Late: returned && competing, Weight: 1, Waited: waited, Goal: goal,
+		Competing: competing, Weight: 1, Waited: time.Since(c.Arrived), Goal: admission.Goal{FirstToken: x.route.LatencyTarget, BetweenTokens: x.route.GapTarget},
 		PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens, ExpectedTokens: c.ExpectedTokens, Pieces: c.PromptTokens + c.MaxTokens,
-		Prefixes: c.Prefixes, ReservedShare: reserve, Urgent: urgent, FailedServers: x.tried,
+		Prefixes: c.Prefixes, Urgent: urgent, FailedServers: x.tried,
 	}
 	if competing && !urgent {
 		j.TimeLeft = x.timeLeft()
@@ -216,7 +184,7 @@
 		return err
 	}
 	x.log("assigned", "priority", x.priority(), "organisation", x.organisationName(), "prefill", a.Prefill.Name(), "decode", a.Decode.Name(), "software", a.Decode.server.Load().Software, "takes_up", x.call.Resumes, "begun_by", x.software, "known_by", x.knownBy, "after", x.lastEvent, "parts", x.call.SharedParts, "tokens", job.PromptTokens, "expected", job.ExpectedTokens,
-		"returned", x.returned(), "patience_ms", x.call.Deadline.Sub(x.call.Arrived).Milliseconds(), "own_runs", a.LocalRuns, "other_runs", a.RemoteRuns, "memory", a.PeakMemory, "step_us", int(a.StepMillis*1000))
+		"patience_ms", x.call.Deadline.Sub(x.call.Arrived).Milliseconds(), "own_runs", a.LocalRuns, "other_runs", a.RemoteRuns, "memory", a.PeakMemory, "step_us", int(a.StepMillis*1000))
 	r.shareUsage(a.Decode)
 	decode := a.Decode
 	defer func() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,16 +107,13 @@
 
 	mu      sync.Mutex // guards the fields below
 	budgets map[string]*retry.Budget
-	// maxWaits are the longest times that callers of each route were lately observed to
-	// wait, by route name.
-	maxWaits map[string]*recentMax
 }
 
 // New returns a router.
 func New(d *directory.Directory, servers Servers, o Options, logger log.Logger) *Router {
 	r := &Router{
 		options: o, directory: d, servers: servers, log: logger,
-		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, maxWaits: map[string]*recentMax{}, count: newCounters(), started: time.Now(),
+		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, count: newCounters(), started: time.Now(),
 		origins: origin.NewTable(), relayed: newRelayed(), blame: blame.NewRecord(), trials: semaphore.NewWeighted(1),
 	}
 	r.fleet.firstStart = o.FirstStart
@@ -230,50 +226,12 @@
 	return b
 }
 
-// pruneLocked forgets the services and routes that the configuration no longer has. The
-// caller holds r.mu.
+// pruneLocked forgets the services that the configuration no longer has. The caller holds
+// r.mu.
 func (r *Router) pruneLocked() {
 	c := r.directory.Current().Config
 	if c == nil {
 		return
 	}
 	maps.DeleteFunc(r.budgets, func(service string, _ *retry.Budget) bool { return c.Services[service] == nil })
-	maps.DeleteFunc(r.maxWaits, func(route string, _ *recentMax) bool {
-		return !slices.ContainsFunc(c.Routes, func(o directory.Route) bool { return o.Name == route })
-	})
-}
-
-// observeMaxWait records how long a caller of a route waits, and returns the longest such
-// time of that route in the last one or two periods of maxWaitPeriod.
-func (r *Router) observeMaxWait(route string, wait time.Duration) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.maxWaits[route]
-	if !ok {
-		m = &recentMax{}
-		r.maxWaits[route] = m
-	}
-	return m.observe(time.Now(), wait)
-}
-
-// maxWaitPeriod is the time for which the longest wait of a caller counts at least.
-const maxWaitPeriod = 30 * time.Second
-
-// recentMax is the largest duration observed in the current and the previous period.
-type recentMax struct {
-	began             time.Time // of the current period
-	current, previous time.Duration
-}
-
-// observe adds a duration and returns the largest.
-func (m *recentMax) observe(now time.Time, d time.Duration) time.Duration {
-	if age := now.Sub(m.began); age >= maxWaitPeriod {
-		m.previous = m.current
-		if age >= 2*maxWaitPeriod {
-			m.previous = 0
-		}
-		m.began, m.current = now, 0
-	}
-	m.current = max(m.current, d)
-	return max(m.current, m.previous)
 }
--- a/internal/router/where.go
+++ b/internal/router/where.go
@@ -71,7 +71,7 @@
 	}
 	out.Version = snap.Config.Version
 	now := time.Now()
-	x := &exchange{router: r, route: snap.Route(q.Host, q.Path), tried: map[string]bool{}, fresh: true}
+	x := &exchange{router: r, route: snap.Route(q.Host, q.Path), tried: map[string]bool{}}
 	x.call = &Call{Host: q.Host, Path: q.Path, Arrived: now, PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens}
 	if x.route == nil {
 		out.Refusal = refuseNoRoute(x.call)
