--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -126,6 +126,7 @@
 	if !p.down {
 		p.prepare(w)
 	}
+	w.setLatestStart()
 	timeToFirstToken, wait := p.predict(w)
 	if p.cutOff(w, wait, timeToFirstToken) {
 		return &Refusal{Reason: cutReason, RetryAfter: w.request.TimeLeft, State: p.state()}
@@ -164,6 +165,18 @@
 	return left > 0 && !p.down && wait+timeToFirstToken+p.answerTime(w) > left
 }
 
+// setLatestStart sets the latest time at which the job may begin, if its caller's time is known.
+func (w *Waiter[S]) setLatestStart() {
+	p, left := w.pool, w.request.TimeLeft
+	if left <= 0 {
+		return
+	}
+	w.job.LatestStart = p.d.Now() + left - w.job.MinTimeToFirstToken
+	if !p.down {
+		w.job.LatestStart -= p.answerTime(w)
+	}
+}
+
 // answerTime returns the expected duration of an answer at the fastest decode server.
 func (p *pool[S]) answerTime(w *Waiter[S]) time.Duration {
 	step := math.Inf(1)
@@ -426,5 +439,9 @@
 func (w *Waiter[S]) refuse() {
 	w.pool.removeWaiting(w)
 	w.pool.recordRefusal(w)
-	w.result <- Assignment[S]{refusal: &Refusal{Reason: lateReason, RetryAfter: w.pool.sched.RetryAfter(&w.job), State: w.pool.state()}}
+	reason := lateReason
+	if start := w.job.LatestStart; start != 0 && start <= w.pool.d.Now() {
+		reason = cutReason
+	}
+	w.result <- Assignment[S]{refusal: &Refusal{Reason: reason, RetryAfter: w.pool.sched.RetryAfter(&w.job), State: w.pool.state()}}
 }
--- a/internal/router/callers_test.go
+++ b/internal/router/callers_test.go
@@ -134,3 +134,25 @@
 		})
 	}
 }
+
+// TestAnswersThatCanNotEndInTimeAreRefusedAtOnce guards callers that give up before the answer's
+// end against a wait, and servers against work for them, with and without priorities.
+func TestAnswersThatCanNotEndInTimeAreRefusedAtOnce(t *testing.T) {
+	for _, competing := range []bool{false, true} {
+		withFleet(t, func(t *testing.T, f *fleet) {
+			is := is.New(t)
+			if competing {
+				f.compete()
+			}
+			f.streams()
+			for limit, served := range map[time.Duration]int{streamTime - time.Millisecond: 0, streamTime / 2: 0, streamTime + target: 1} {
+				is.Equal(f.ask(1, 0, within("/stream/x", time.Minute))[0].served, 1) // the length is learnt
+				before := len(f.servers.recorded())
+				got := f.ask(1, 0, within("/stream/x", limit))[0]
+				is.Equal(got.served, served)
+				is.Equal(got.slowestRefusal, time.Duration(0))
+				is.Equal(len(f.servers.recorded())-before, 2*served) // a prefill and a decode
+			}
+		})
+	}
+}
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -127,14 +127,13 @@
 // newJob describes the call for admission and placement.
 func (x *exchange) newJob(urgent bool) *dispatch.Job {
 	c := x.call
-	competing := x.competing()
 	j := &dispatch.Job{
 		Model: x.service, Provider: x.organisationName(), Priority: x.priority(), MostUrgent: x.router.prioritiesOf(x.service).lowest,
-		Competing: competing, Weight: 1, Waited: time.Since(c.Arrived), Goal: admission.Goal{FirstToken: x.route.LatencyTarget, BetweenTokens: x.route.GapTarget},
+		Competing: x.competing(), Weight: 1, Waited: time.Since(c.Arrived), Goal: admission.Goal{FirstToken: x.route.LatencyTarget, BetweenTokens: x.route.GapTarget},
 		PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens, ExpectedTokens: c.ExpectedTokens, Pieces: c.PromptTokens + c.MaxTokens,
 		Prefixes: c.Prefixes, Urgent: urgent, FailedServers: x.tried,
 	}
-	if competing && !urgent {
+	if !urgent { // the caller has a part of the answer, of which the rest may be short
 		j.TimeLeft = x.timeLeft()
 	}
 	if x.pinned() {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,6 +28,9 @@
 	Ahead time.Duration
 	// MinTimeToFirstToken is the minimum time from dispatch to the first token.
 	MinTimeToFirstToken time.Duration
+	// LatestStart is the latest time of dispatch for which the answer ends before the caller
+	// gives up; 0 if that is not known.
+	LatestStart time.Duration
 	// PrefillMillis is the prefill time in milliseconds.
 	PrefillMillis float64
 	// Urgent jobs continue an earlier attempt. They go first and are never refused.
@@ -148,11 +151,20 @@
 	}
 	j.item = fairqueue.Item[*Job]{
 		Value: j, Rank: s.order.Rank(j), Cost: j.PrefillMillis,
-		Due: float64(j.Arrived + s.policy.MaxQueueTime(j.Goal, j.MinTimeToFirstToken)),
+		Due: s.due(j, j.Arrived),
 	}
 	s.class(j.Priority).Push(s.order.Flow(j), j.Weight, &j.item)
 }
 
+// due returns the latest time of dispatch of a job whose target counts from a time.
+func (s *Schedule) due(j *Job, from time.Duration) float64 {
+	due := from + s.policy.MaxQueueTime(j.Goal, j.MinTimeToFirstToken)
+	if j.LatestStart != 0 {
+		due = min(due, j.LatestStart)
+	}
+	return float64(due)
+}
+
 // Wait predicts the time that a new job waits, from the backlog before it and the
 // recent speed at which the queue drained.
 func (s *Schedule) Wait(j *Job) time.Duration {
@@ -168,8 +180,8 @@
 	return time.Duration(ahead * s.busyTime / s.drained * float64(time.Millisecond))
 }
 
-// PopLate removes and returns a job that can no longer meet its target, or returns
-// nil.
+// PopLate removes and returns a job that can no longer meet its target, or whose answer can no
+// longer end before its caller gives up; nil if there is none.
 func (s *Schedule) PopLate(now time.Duration) *Job {
 	for _, c := range s.classes {
 		if item := c.fair.Overdue(float64(now)); item != nil {
@@ -240,9 +252,7 @@
 // which no server took work.
 func (s *Schedule) RestartTargets(now time.Duration) {
 	for _, c := range s.classes {
-		c.fair.UpdateDue(func(j *Job) float64 {
-			return float64(now + s.policy.MaxQueueTime(j.Goal, j.MinTimeToFirstToken))
-		})
+		c.fair.UpdateDue(func(j *Job) float64 { return s.due(j, now) })
 	}
 }
 
