--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -44,8 +44,8 @@
 // Verdict is the decision on the admission of a request.
 type Verdict struct {
 	Admitted bool
-	// RetryAfter is the advised delay before a refused request is retried.
-	RetryAfter time.Duration
+	// Excess is the time by which a refused request would miss its target.
+	Excess time.Duration
 }
 
 // State is the state of the queue and the servers when a request arrives.
@@ -69,12 +69,3 @@
 	// first token on idle servers.
 	MaxQueueTime(g Goal, minTimeToFirstToken time.Duration) time.Duration
 }
-
-// Bounds of the advised delay before a retry.
-const (
-	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = 10 * time.Second
-)
-
-// RetryAfter limits an advised delay to its bounds.
-func RetryAfter(d time.Duration) time.Duration { return min(max(d, minRetryDelay), maxRetryDelay) }
--- a/internal/admission/length.go
+++ b/internal/admission/length.go
@@ -11,7 +11,7 @@
 	if s.Queued < l.Max {
 		return Verdict{Admitted: true}
 	}
-	return Verdict{RetryAfter: RetryAfter(s.Wait)}
+	return Verdict{Excess: s.Wait}
 }
 
 // MaxQueueTime implements Policy.
--- a/internal/admission/predicted.go
+++ b/internal/admission/predicted.go
@@ -36,7 +36,7 @@
 	if excess <= 0 {
 		return Verdict{Admitted: true}
 	}
-	return Verdict{RetryAfter: RetryAfter(excess)}
+	return Verdict{Excess: excess}
 }
 
 // MaxQueueTime implements Policy.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,10 +18,6 @@
 	"github.com/samphirestream/samphirestream/internal/schedule"
 )
 
-// queueFullRetry is the advised delay when the queue is full. A backlog of typical
-// length is served in that time.
-const queueFullRetry = 2 * time.Second
-
 // Server is a backend server that requests are assigned to.
 type Server interface {
 	Name() string
@@ -60,6 +56,8 @@
 	// SharedLengths predicts the lengths of answers by model alone, not by provider, for
 	// processes that see few answers of each.
 	SharedLengths bool
+	// Processes, if not nil, returns the number of processes that share the servers.
+	Processes func() int
 	// Announce, if not nil, is called with the jobs that wait in a pool when they change.
 	// The dispatcher's lock is held during the call.
 	Announce func(model string, waiting []Waiting)
@@ -170,10 +168,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.poolLocked(j.Model)
+	w := p.newWaiter(j)
 	if p.sched.Len() >= d.options.MaxQueued && !j.Urgent {
-		return nil, &Refusal{Reason: "the queue is full", RetryAfter: queueFullRetry, State: p.state()}
+		p.refresh()
+		return nil, &Refusal{Reason: "the queue is full", RetryAfter: p.retryAfter(w), State: p.state()}
 	}
-	w := p.newWaiter(j)
 	if j.MayDecode != nil {
 		p.pinned = append(p.pinned, w)
 		p.pump()
@@ -209,6 +208,14 @@
 	}
 }
 
+// RetryAfter returns the advised delay before a retry of a job that was not served.
+func (d *Dispatcher[S]) RetryAfter(j *Job) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, w := d.waiterLocked(j)
+	return p.retryAfter(w)
+}
+
 // Requeue puts a job that its decode server refused back into the queue, with its
 // former rank and target.
 func (d *Dispatcher[S]) Requeue(w *Waiter[S], a Assignment[S]) {
@@ -513,6 +520,9 @@
 	// TimeLeft is the time until the caller gives up; 0 when unknown. A job whose answer
 	// would not end by then is refused.
 	TimeLeft time.Duration
+	// MaxRetryAfter is the longest delay that the caller follows after a refusal; 0 when
+	// unknown.
+	MaxRetryAfter time.Duration
 	// PromptTokens is the length of the prompt to prefill.
 	PromptTokens int
 	// MaxTokens is the longest allowed answer, and ExpectedTokens the caller's
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -41,11 +41,11 @@
 	verdict := p.sched.Admits(&w.job, wait, timeToFirstToken)
 	out.State = p.state()
 	out.State.Wait, out.State.TimeToFirstToken = wait, timeToFirstToken
-	switch left := j.TimeLeft; {
+	switch {
 	case p.cutOff(w, wait, timeToFirstToken):
-		out.Refusal, out.RetryAfter = cutReason, left
+		out.Refusal, out.RetryAfter = cutReason, j.limitRetry(j.TimeLeft)
 	case !verdict.Admitted:
-		out.Refusal, out.RetryAfter = lateReason, verdict.RetryAfter
+		out.Refusal, out.RetryAfter = lateReason, p.timeToRoom(w)
 	case p.down || p.sched.Len() > 0:
 		out.Waits = true
 	default:
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -54,7 +54,8 @@
 
 	// lessUrgent and lessUrgentLarge count the less urgent jobs that were offered; see aging.
 	lessUrgent, lessUrgentLarge int
-	competing                   competition
+	returning                   returning
+	competing  competition
 	// sizes is the mean length of prompts of competing jobs.
 	sizes predict.Mean
 
@@ -131,10 +132,10 @@
 	if !p.down {
 		p.prepare(w)
 	}
-	w.setLatestStart()
 	timeToFirstToken, wait := p.predict(w)
+	w.setLatestStart()
 	if p.cutOff(w, wait, timeToFirstToken) {
-		return &Refusal{Reason: cutReason, RetryAfter: w.request.TimeLeft, State: p.state()}
+		return &Refusal{Reason: cutReason, RetryAfter: w.request.limitRetry(w.request.TimeLeft), State: p.state()}
 	}
 	verdict := p.sched.Offer(p.d.Now(), &w.job, wait, timeToFirstToken)
 	if verdict.Admitted {
@@ -143,7 +144,7 @@
 	p.recordRefusal(w)
 	state := p.state()
 	state.Wait, state.TimeToFirstToken = wait, timeToFirstToken
-	return &Refusal{Reason: lateReason, RetryAfter: verdict.RetryAfter, State: state}
+	return &Refusal{Reason: lateReason, RetryAfter: p.retryAfter(w), State: state}
 }
 
 // predict returns the predicted time of a prepared job from dispatch to the first token, and
@@ -155,15 +156,22 @@
 			timeToFirstToken = time.Duration(c.Cost*float64(time.Millisecond)) + p.planner.StartTime()
 		}
 	}
-	if !p.down && p.d.options.MemoryShare > 0 {
-		ahead := p.remoteBefore(waitingOf(&w.job)) + p.localBefore(&w.job)
-		if predicted, ok := p.planner.Wait(&w.need, p.decodeViews, p.d.options.MemoryShare, ahead); ok {
-			wait = time.Duration(usualWait * float64(predicted))
-		}
+	if projected, ok := p.projectWait(w); ok {
+		wait = time.Duration(usualWait * float64(projected))
 	}
 	return timeToFirstToken, wait
 }
 
+// projectWait returns the projected wait of a prepared job for the memory of servers whose load
+// is counted by this process. It reports false for others, or while no server takes work.
+func (p *pool[S]) projectWait(w *Waiter[S]) (time.Duration, bool) {
+	if p.down || p.d.options.MemoryShare <= 0 {
+		return 0, false
+	}
+	ahead := p.remoteBefore(waitingOf(&w.job)) + p.localBefore(&w.job)
+	return p.planner.Wait(&w.need, p.decodeViews, p.d.options.MemoryShare, ahead)
+}
+
 // cutOff reports whether the caller would probably cut off the answer at its time limit.
 func (p *pool[S]) cutOff(w *Waiter[S], wait, timeToFirstToken time.Duration) bool {
 	left := w.request.TimeLeft
@@ -444,9 +452,13 @@
 func (w *Waiter[S]) refuse() {
 	w.pool.removeWaiting(w)
 	w.pool.recordRefusal(w)
-	reason := lateReason
-	if start := w.job.LatestStart; start != 0 && start <= w.pool.d.Now() {
-		reason = cutReason
+	p := w.pool
+	reason, delay := lateReason, time.Duration(0)
+	if start := w.job.LatestStart; start != 0 && start <= p.d.Now() {
+		reason, delay = cutReason, w.request.limitRetry(w.request.TimeLeft)
+	} else {
+		p.prepare(w)
+		delay = p.retryAfter(w)
 	}
-	w.result <- Assignment[S]{refusal: &Refusal{Reason: reason, RetryAfter: w.pool.sched.RetryAfter(&w.job), State: w.pool.state()}}
+	w.result <- Assignment[S]{refusal: &Refusal{Reason: reason, RetryAfter: delay, State: p.state()}}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,7 +122,7 @@
 	}
 	r.dispatch = dispatch.New(r.fleet, dispatch.Options{
 		MaxQueued: o.MaxQueued, NewPlanner: func(service string) *placement.Planner { return newPlanner(r.fleet.speedsOf(service)) }, Policy: newPolicy(), Order: schedule.FairArrivalOrder(),
-		MemoryShare: projectedShare, RefuseWhileDown: true, Announce: r.announce, SharedLengths: true,
+		MemoryShare: projectedShare, RefuseWhileDown: true, Announce: r.announce, SharedLengths: true, Processes: r.entries,
 	})
 	r.publishGauges()
 	return r
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -256,10 +256,6 @@
 	}
 }
 
-// RetryAfter returns the advised delay for a job that was refused while it waited: the
-// time in which the current backlog is served.
-func (s *Schedule) RetryAfter(j *Job) time.Duration { return admission.RetryAfter(s.Wait(j)) }
-
 // Requeue requeues a job that was dispatched and then refused by a server before any
 // work was done. Its provider is not charged, and it keeps its rank and its target. An
 // urgent job goes behind the other urgent ones.
