--- a/internal/dispatch/compete_test.go
+++ b/internal/dispatch/compete_test.go
@@ -158,3 +158,30 @@
 		is.True(time.Since(offered) <= left-answer)
 	})
 }
+
+// TestPredictionsAreTriedWhenNothingWasObserved guards against a pool that refuses all callers by
+// speeds that no longer hold.
+func TestPredictionsAreTriedWhenNothingWasObserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newSimFleet(1, true, 0).entries[0]
+		const left = 4 * time.Second
+		job := &dispatch.Job{Weight: 1, Goal: admission.Goal{FirstToken: target}, TimeLeft: left, PromptTokens: 1000, MaxTokens: 10_000, ExpectedTokens: 5000}
+		e.d.Update(e.decodes[0], func(now time.Duration, v *placement.Server) {
+			for range 50 {
+				v.ObserveStep(now, 5*step, 0)
+			}
+		})
+		for range 3 {
+			_, err := e.d.Offer(job)
+			is.True(err != nil) // the answer would take 15 s
+			time.Sleep(left + time.Second)
+			w, err := e.d.Offer(job)
+			is.NoErr(err)
+			a, err := e.d.Acquire(context.Background(), w)
+			is.NoErr(err)
+			e.d.EndPrefill(job, a.Prefill, a.Use, dispatch.PrefillResult{})
+			e.d.EndDecode(a.Decode, a.Use)
+		}
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -352,7 +352,9 @@
 func (d *Dispatcher[S]) RecordAnswerLength(j *Job, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.poolLocked(j.Model).lengths.Add(d.lengthKey(j), tokens)
+	p := d.poolLocked(j.Model)
+	p.observedAt = d.Now()
+	p.lengths.Add(d.lengthKey(j), tokens)
 }
 
 // SetRemoteWaiting stores the jobs that wait at other processes for servers of a pool.
@@ -423,6 +425,7 @@
 		}
 		return
 	}
+	p.observedAt = now
 	p.index.Add(j.Prefixes, view.ID)
 	if r.Computed > 0 && r.ComputeTime > 0 {
 		view.ObservePrefill(now, r.Computed, r.ComputeTime)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -55,6 +55,9 @@
 	// lessUrgent and lessUrgentLarge count the less urgent jobs that were offered; see aging.
 	lessUrgent, lessUrgentLarge int
 	returning                   returning
+	// observedAt is the time of the last observation of a prefill or an answer, or of the last
+	// job that was run without one; see stale.
+	observedAt time.Duration
 	competing  competition
 	// sizes is the mean length of prompts of competing jobs.
 	sizes predict.Mean
@@ -133,8 +136,17 @@
 		p.prepare(w)
 	}
 	timeToFirstToken, wait := p.predict(w)
+	if least := w.job.MinTimeToFirstToken; !p.down && least > w.request.Goal.FirstToken {
+		// A server may be faster than the service is on average.
+		w.job.MinTimeToFirstToken = min(least, timeToFirstToken)
+	}
 	w.setLatestStart()
-	if p.cutOff(w, wait, timeToFirstToken) {
+	cut := p.cutOff(w, wait, timeToFirstToken)
+	if (cut || !p.sched.Admits(&w.job, wait, timeToFirstToken).Admitted) && p.stale(w) {
+		p.observedAt = p.d.Now()
+		w.job.Urgent, cut = true, false
+	}
+	if cut {
 		return &Refusal{Reason: cutReason, RetryAfter: w.request.limitRetry(w.request.TimeLeft), State: p.state()}
 	}
 	verdict := p.sched.Offer(p.d.Now(), &w.job, wait, timeToFirstToken)
@@ -190,6 +202,14 @@
 	}
 }
 
+// stale reports whether the speeds that a refusal would be based on were last observed longer ago
+// than the job's caller waits. Then one job is run all the same: while all are refused, nothing
+// shows that the servers have become faster.
+func (p *pool[S]) stale(w *Waiter[S]) bool {
+	left := w.request.TimeLeft
+	return left > 0 && p.d.Now()-p.observedAt > left
+}
+
 // answerTime returns the expected duration of an answer at the fastest decode server.
 func (p *pool[S]) answerTime(w *Waiter[S]) time.Duration {
 	step := math.Inf(1)
