--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -151,7 +151,7 @@
 			return &router.Reply{Status: 421, Misdirected: true, NotRun: true, Body: http.NoBody}, nil
 		}
 		f.servers.set("a1", misdirected)
-		for range 12 {
+		for range 60 { // at random, one of them to a1
 			f.call(context.Background(), "/safe/x")
 		}
 		u := p.usage("a1")
@@ -209,7 +209,7 @@
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		f.servers.set("a1", hangs)
-		for range 12 {
+		for range 60 { // at random, one of them to a1
 			f.call(context.Background(), "/safe/x")
 		}
 		for _, s := range f.Snapshot().Servers {
