--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -171,6 +171,7 @@
 	w := p.newWaiter(j)
 	if p.sched.Len() >= d.options.MaxQueued && !j.Urgent {
 		p.refresh()
+		p.prepare(w)
 		return nil, &Refusal{Reason: "the queue is full", RetryAfter: p.retryAfter(w), State: p.state()}
 	}
 	if j.MayDecode != nil {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/predict"
+	"github.com/samphirestream/samphirestream/internal/returning"
 	"github.com/samphirestream/samphirestream/internal/schedule"
 )
 
@@ -54,7 +55,7 @@
 
 	// lessUrgent and lessUrgentLarge count the less urgent jobs that were offered; see aging.
 	lessUrgent, lessUrgentLarge int
-	returning                   returning
+	returning                   returning.Callers
 	// observedAt is the time of the last observation of a prefill or an answer, or of the last
 	// job that was run without one; see stale.
 	observedAt time.Duration
--- a/internal/dispatch/returning.go
+++ b/internal/dispatch/retry.go
@@ -1,29 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
-
-// returning are the callers that were refused and will come back. Their work comes before that
-// of those refused later.
-type returning []returningJob
-
-// returningJob is the work of one such caller: the time for which it takes up all servers.
-type returningJob struct {
-	at   time.Duration
-	work time.Duration
-}
-
-// workAt returns the work of those that have not come back at a time, and forgets the others.
-func (r *returning) workAt(now time.Duration) time.Duration {
-	*r = slices.DeleteFunc(*r, func(j returningJob) bool { return j.at <= now })
-	sum := time.Duration(0)
-	for _, j := range *r {
-		sum += j.work
-	}
-	return sum
-}
+import "time"
 
 // limitRetry bounds an advised delay by what the caller follows.
 func (j *Job) limitRetry(d time.Duration) time.Duration {
@@ -37,7 +14,7 @@
 // back then.
 func (p *pool[S]) retryAfter(w *Waiter[S]) time.Duration {
 	delay := p.timeToRoom(w)
-	p.returning = append(p.returning, returningJob{at: p.d.Now() + delay, work: p.work(w)})
+	p.returning.Add(p.d.Now()+delay, p.work(w))
 	return delay
 }
 
@@ -49,7 +26,7 @@
 	timeToFirstToken, wait := p.predict(w)
 	projected, _ := p.projectWait(w)
 	delay := max(wait, projected, p.sched.Admits(&w.job, wait, timeToFirstToken).Excess)
-	ahead := p.returning.workAt(p.d.Now()) + p.work(w)
+	ahead := p.returning.Work(p.d.Now()) + p.work(w)
 	if p.d.options.Processes != nil {
 		ahead *= time.Duration(max(1, p.d.options.Processes()))
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -46,6 +46,8 @@
 	tried map[string]bool
 	// levelChoice is what the last choice of a plain server was based on.
 	levelChoice levelChoice
+	// queueTime is the expected time of the last plain attempt, if it had to wait for a slot.
+	queueTime time.Duration
 	// attempts counts the servers that may have run the call.
 	attempts int
 	// runs counts the runs of a generation that have ended, and prepaid is set while the
--- a/internal/router/overload_test.go
+++ b/internal/router/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -88,3 +89,70 @@
 		is.True(float64(inTime.Load()) >= minInTime*float64(done.Load()))
 	})
 }
+
+// TestBurstThatEndsWithinTheTargetIsServed sends as many plain calls at once as the servers answer
+// within four fifths of the target, and guards them against refusals, whatever their time limit.
+func TestBurstThatEndsWithinTheTargetIsServed(t *testing.T) {
+	for _, limit := range []time.Duration{target, 10 * time.Second} {
+		withFleet(t, func(t *testing.T, f *fleet) {
+			is := is.New(t)
+			const service, slots, calls = target / 5, 6, 4 * 3 * 6
+			for _, id := range plainServers {
+				server := make(chan struct{}, slots)
+				f.servers.set(id, func(ctx context.Context, o *router.OutgoingCall) (*router.Reply, error) {
+					server <- struct{}{}
+					defer func() { <-server }()
+					time.Sleep(service)
+					return ok("ok")(ctx, o)
+				})
+			}
+			f.limitOnce(limit)
+			is.Equal(f.ask(40, service, within("/once/x", limit))[0].served, 40) // speeds are learnt
+			got := f.ask(calls, 0, within("/once/x", limit))[0]
+			is.Equal(got.served, calls)
+			is.Equal(got.onTime, calls)
+		})
+	}
+}
+
+// TestRefusedPlainCallersFindRoomWhenTheyComeBack sends twice as many plain calls at once as the
+// servers answer within the target. It guards callers that follow the advised delay against a
+// second refusal.
+func TestRefusedPlainCallersFindRoomWhenTheyComeBack(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		const service, slots, limit, calls = target / 5, 6, 10 * time.Second, 2 * 5 * 3 * 6
+		for i, id := range plainServers {
+			f.servers.set(id, newSlotServer(slots, service, uint64(i)).serve)
+		}
+		f.limitOnce(limit)
+		f.ask(300, service/20, within("/once/x", limit)) // speeds are learnt
+		var all sync.WaitGroup
+		var refused, served atomic.Int64
+		for range calls {
+			all.Go(func() {
+				a := f.try(within("/once/x", limit)())
+				if a.failure == nil {
+					return
+				}
+				refused.Add(1)
+				time.Sleep(a.failure.RetryAfter)
+				if f.try(within("/once/x", limit)()).failure == nil {
+					served.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		t.Logf("%d of %d refused, %d of them served when they came back", refused.Load(), calls, served.Load())
+		is.True(served.Load() >= refused.Load()*9/10)
+	})
+}
+
+// limitOnce sets the time limit of the route of calls that run at most once.
+func (f *fleet) limitOnce(limit time.Duration) {
+	config := *f.directory.Current().Config
+	config.Version++
+	config.Routes = slices.Clone(config.Routes)
+	config.Routes[1].Timeout = limit
+	f.directory.SetConfig(&config)
+}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -11,7 +11,6 @@
 	"github.com/samphirestream/samphirestream/internal/bodyread"
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/membudget"
-	"github.com/samphirestream/samphirestream/internal/sleep"
 	"github.com/samphirestream/samphirestream/internal/upstream"
 )
 
@@ -20,20 +19,6 @@
 	// maxRefusals is the number of servers that refused the call or were unreachable
 	// after which it fails.
 	maxRefusals = 3
-	// busyRetry is the advised delay when the servers refused the call. Full servers
-	// answer some calls each in that time.
-	busyRetry = 250 * time.Millisecond
-	// overloadedRetry is the advised delay when all servers have a backlog. With its
-	// jitter it is about what a caller with a deadline of 1.5 s can spare.
-	overloadedRetry = 350 * time.Millisecond
-	// targetShare is the fraction of the target that the predicted time of a call may
-	// take. The rest is for calls that take longer than the mean.
-	targetShare = 0.6
-	// unavailableRetry is the advised delay when no server is available.
-	unavailableRetry = 700 * time.Millisecond
-	// attemptShare is the fraction of the remaining time that an attempt of an
-	// idempotent call may take while another attempt is allowed.
-	attemptShare = 0.5
 	// maxBody bounds the response that is buffered until it is complete, in bytes.
 	maxBody = 1 << 20
 )
@@ -66,7 +51,7 @@
 			x.finishUnanswered(ctx, failed, refusal)
 			return
 		}
-		if err := x.awaitTrial(ctx, directory.Plain, x.timeLeft()/2); err != nil {
+		if err := x.awaitTrial(ctx, directory.Plain, x.timeLeft()-x.expectedTime()); err != nil {
 			x.finishUnanswered(ctx, failed, x.refuseSuspected())
 			return
 		}
@@ -75,9 +60,9 @@
 			x.finishUnanswered(ctx, failed, x.noServer())
 			return
 		}
-		if x.attempts == 0 && x.router.overloaded(b, x.route.LatencyTarget) {
+		if excess := x.backlogExcess(b); x.attempts == 0 && excess > 0 {
 			x.warn("refused before it was sent", "server", b.Name(), "in_flight", b.localCalls.Load()+b.remoteCalls.Load(), "work_ms", x.router.callTime(b, time.Now()).Milliseconds())
-			x.fail(x.refuseBacklog().WithRetryAfter(sleep.Jitter(overloadedRetry)))
+			x.fail(x.refuseBacklog().WithRetryAfter(x.roomIn(excess)))
 			return
 		}
 		if !x.router.fleet.take(b, time.Now()) {
@@ -93,7 +78,7 @@
 		case out.notRun:
 			refusals++
 			if refusals >= maxRefusals || ctx.Err() != nil || !notSent(out.err) && !x.acquireRetry(retryStep) {
-				x.finishUnanswered(ctx, failed, apierror.NotRun(apierror.KindOverloaded, "the servers of "+x.service+" refused the call", "retry after the delay").WithRetryAfter(busyRetry))
+				x.finishUnanswered(ctx, failed, apierror.NotRun(apierror.KindOverloaded, "the servers of "+x.service+" refused the call", "retry after the delay").WithRetryAfter(x.roomIn(x.backlogExcess(b))))
 				return
 			}
 		default:
@@ -111,7 +96,18 @@
 	if wait, ok := x.router.fleet.withheld(x.service, directory.Plain); ok {
 		return x.refuseWithheld(wait, directory.Plain)
 	}
-	return apierror.NotRun(apierror.KindUnavailable, "no server of "+x.service+" is available", "retry after the delay").WithRetryAfter(unavailableRetry)
+	return apierror.NotRun(apierror.KindUnavailable, "no server of "+x.service+" is available", "retry after the delay").WithRetryAfter(maxAdvisedDelay(x.call))
+}
+
+// expectedTime returns the expected time of the call at the fastest of the servers that take it.
+func (x *exchange) expectedTime() time.Duration {
+	least := time.Duration(0)
+	for _, b := range x.router.fleet.plain(x.service, nil) {
+		if t := x.router.callTime(b, time.Now()); least == 0 || t < least {
+			least = t
+		}
+	}
+	return least
 }
 
 // finishUnanswered ends a call without a successful answer: with the server's own
@@ -142,11 +138,13 @@
 // tryPlain makes one attempt at a server.
 func (x *exchange) tryPlain(ctx context.Context, b *backend) plainOutcome {
 	x.tried[b.Name()] = true
+	x.queueTime = x.router.queueTime(b, time.Now())
 	callsPerSlot := float64(x.router.beginCall(b)) / float64(max(1, b.server.Load().Slots))
 	defer x.router.endCall(b)
-	if x.route.Kind == directory.Idempotent && x.attempts+1 < x.route.Attempts {
+	if left := x.route.Attempts - x.attempts; x.route.Kind == directory.Idempotent && left > 1 {
+		// Each attempt that is allowed has an equal part of the time.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(attemptShare*float64(x.timeLeft())), errTimeout)
+		ctx, cancel = context.WithTimeoutCause(ctx, x.timeLeft()/time.Duration(left), errTimeout)
 		defer cancel()
 	}
 	sent := time.Now()
@@ -200,6 +198,9 @@
 	ok := valid && reply.Status < 300
 	b.health.recordAnswer(!ok && !isOwnLimit(err))
 	if ok {
+		if x.queueTime > 0 {
+			x.router.backlogs.observe(x.service, float64(time.Since(sent))/float64(x.queueTime))
+		}
 		x.router.observeCall(b, time.Duration(float64(time.Since(sent))/max(1, callsPerSlot)))
 	}
 	if valid {
@@ -256,20 +257,6 @@
 	return b
 }
 
-// overloaded reports whether a call to a server would probably miss the target. When
-// the load exceeds the capacity of a service, this keeps the accepted calls within
-// their target; otherwise all queues would be full and all calls late.
-func (r *Router) overloaded(b *backend, target time.Duration) bool {
-	service := r.callTime(b, time.Now())
-	slots := max(1, b.server.Load().Slots)
-	queued := b.localCalls.Load() + b.remoteCalls.Load() + 1 - int64(slots)
-	if queued <= 0 || target <= 0 {
-		return false
-	}
-	wait := time.Duration(float64(queued) / float64(slots) * float64(service))
-	return wait+service > time.Duration(targetShare*float64(target))
-}
-
 // plainCost returns the calls per slot of a server, with penalties, and with the time by
 // which a further call takes longer than at a usual server with as many calls, in units of a
 // usual call. That time grows with the calls once all slots are busy.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,6 +99,9 @@
 	// refusedBy counts refused requests to models.
 	refusedBy callerCounts
 
+	// backlogs are those of plain services.
+	backlogs backlogs
+
 	// levels chooses servers of plain services.
 	levels levels
 
@@ -233,5 +236,6 @@
 	if c == nil {
 		return
 	}
+	r.backlogs.keep(c)
 	maps.DeleteFunc(r.budgets, func(service string, _ *retry.Budget) bool { return c.Services[service] == nil })
 }
--- a/internal/router/where.go
+++ b/internal/router/where.go
@@ -169,7 +169,7 @@
 		return
 	}
 	w.Server = w.Plain[0].Server
-	if r.overloaded(r.fleet.get(w.Server), x.route.LatencyTarget) {
+	if x.backlogExcess(r.fleet.get(w.Server)) > 0 {
 		w.Refusal = x.refuseBacklog()
 	}
 }
