--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -38,7 +38,7 @@
 	p.prepare(w)
 	out := Explanation{}
 	timeToFirstToken, wait := p.predict(w)
-	verdict := p.sched.Admits(&w.job, wait, timeToFirstToken)
+	verdict := p.sched.Admits(&w.job, j.Waited+wait, timeToFirstToken)
 	out.State = p.state()
 	out.State.Wait, out.State.TimeToFirstToken = wait, timeToFirstToken
 	switch {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -143,14 +143,14 @@
 	}
 	w.setLatestStart()
 	cut := p.cutOff(w, wait, timeToFirstToken)
-	if (cut || !p.sched.Admits(&w.job, wait, timeToFirstToken).Admitted) && p.stale(w) {
+	if (cut || !p.sched.Admits(&w.job, w.request.Waited+wait, timeToFirstToken).Admitted) && p.stale(w) {
 		p.observedAt = p.d.Now()
 		w.job.Urgent, cut = true, false
 	}
 	if cut {
 		return &Refusal{Reason: cutReason, RetryAfter: w.request.limitRetry(w.request.TimeLeft), State: p.state()}
 	}
-	verdict := p.sched.Offer(p.d.Now(), &w.job, wait, timeToFirstToken)
+	verdict := p.sched.Offer(p.d.Now(), &w.job, w.request.Waited+wait, timeToFirstToken)
 	if verdict.Admitted {
 		return nil
 	}
--- a/internal/router/callers_test.go
+++ b/internal/router/callers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -17,21 +16,6 @@
 	"github.com/samphirestream/samphirestream/internal/router"
 )
 
-// pacedStream is a stream with an event after each pause.
-type pacedStream struct {
-	events int
-	pause  time.Duration
-}
-
-func (s *pacedStream) Read(p []byte) (int, error) {
-	if s.events == 0 {
-		return 0, io.EOF
-	}
-	time.Sleep(s.pause)
-	s.events--
-	return copy(p, "id: 1\ndata: x\n\n"), nil
-}
-
 // The streams of these tests have answers of streamEvents events in streamTime. A decode server
 // has memory for about streamsPerServer of them.
 const (
@@ -44,7 +28,7 @@
 // streams makes the decode servers answer with such streams.
 func (f *fleet) streams() {
 	f.servers.setAll(decodeServers, func(context.Context, *router.OutgoingCall) (*router.Reply, error) {
-		return reply(200, &pacedStream{events: streamEvents, pause: streamTime / streamEvents}), nil
+		return reply(200, &pacedReader{left: streamEvents, gap: streamTime / streamEvents}), nil
 	})
 }
 
@@ -222,3 +206,19 @@
 		is.True(onTime.Load() >= served.Load()*9/10)
 	})
 }
+
+// TestPromptsAreReadAgainWhileThereIsTime has the result of a prefill expire after more than half of
+// the target, shortly before there is room for it. It guards the caller against a refusal.
+func TestPromptsAreReadAgainWhileThereIsTime(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.compete()
+		f.streams()
+		f.servers.set(decodeServers[0], refuses)
+		f.fill(decodeServers[1:], 60_000)
+		time.AfterFunc(target*6/10, func() { f.fill(decodeServers[1:], 0) })
+		a := f.try(newCall("/stream/x"))
+		is.Equal(a.failure, nil)
+		is.True(a.first <= target)
+	})
+}
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -86,9 +86,8 @@
 		resumable := x.route.Resumable && x.attempts < x.route.Attempts
 		return resumable && (errors.Is(err, errStreamBroken) || errors.Is(err, errRefused) || errors.Is(err, errUnstated))
 	}
-	// No server started. Another prefill is worthwhile while the call can meet its target.
-	early := time.Since(x.call.Arrived) < x.route.LatencyTarget/2
-	return errors.Is(err, errRefused) && run == 0 && early
+	// No server started. The admission decides whether the time that is left suffices.
+	return errors.Is(err, errRefused) && run == 0
 }
 
 // failGeneration fails a call with an outcome that reflects whether a server may
