--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -134,12 +134,22 @@
 // trialLimit returns the time for which the call waits for its trial: until it would be
 // answered too late, or for a call that has events already, until its caller would give up.
 func (x *exchange) trialLimit() time.Duration {
-	if x.begun {
-		return pinnedTargets * x.route.LatencyTarget
+	if x.begun || x.route.LatencyTarget <= 0 {
+		return x.standstill()
 	}
 	return max(x.route.LatencyTarget-time.Since(x.call.Arrived), 0)
 }
 
+// standstill returns the time for which a stream may stand still and still go on at another
+// server before its caller gives up: the target is the time until the first event there.
+func (x *exchange) standstill() time.Duration {
+	left := x.timeLeft()
+	if x.route.Patience > 0 {
+		left = min(left, x.route.Patience)
+	}
+	return max(left-x.route.LatencyTarget, 0)
+}
+
 // run makes one attempt: it waits for servers, prefills the prompt, starts the
 // decode and relays its stream.
 func (x *exchange) run(ctx context.Context, urgent bool) error {
@@ -149,11 +159,9 @@
 		if !r.fleet.hasSoftware(x.service, x.software) {
 			return errSoftwareGone
 		}
-		if x.route.LatencyTarget > 0 {
-			var cancel context.CancelFunc
-			waiting, cancel = context.WithTimeoutCause(ctx, pinnedTargets*x.route.LatencyTarget, errTimeout)
-			defer cancel()
-		}
+		var cancel context.CancelFunc
+		waiting, cancel = context.WithTimeoutCause(ctx, x.standstill(), errTimeout)
+		defer cancel()
 	}
 	if err := x.awaitTrial(ctx, directory.Decode, x.trialLimit()); err != nil {
 		return err
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -24,10 +24,6 @@
 	// settleTime is the time after the first answer in which others arrive: several round trips
 	// within a region.
 	settleTime = 40 * time.Millisecond
-	// pinnedTargets is the time, in multiples of the route's target for the first event, for
-	// which a stream waits for the servers that may continue it. Callers give up a stream
-	// that stands still for longer.
-	pinnedTargets = 2
 	// refreshInterval is the interval at which the streams that are relayed are recorded again,
 	// so that long ones are remembered for some time after they break off.
 	refreshInterval = origin.Retention / 2
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -26,14 +26,6 @@
 
 // Limits of a relayed stream.
 const (
-	// stallFactor is the time without an event, in multiples of the route's gap,
-	// after which the server is probed.
-	stallFactor = 1.5
-	// callerGaps is the time without an event, in multiples of the route's gap, after which
-	// callers give up, and minStallGaps that below which a stream of a reachable server is
-	// never moved: its server may have preempted it for a while.
-	callerGaps   = 8
-	minStallGaps = 4
 	// readSize is the size in bytes of the buffer for reads from a stream.
 	readSize = 8 << 10
 	// maxEvent bounds the size of one event in bytes.
@@ -262,24 +254,18 @@
 func (x *exchange) watchStall(b *backend, cancel context.CancelFunc) *stallWatch {
 	w := &stallWatch{events: make(chan struct{}, 1), done: make(chan struct{}), began: time.Now()}
 	if gap := x.route.GapTarget; gap > 0 {
-		go w.run(x, b, time.Duration(stallFactor*float64(gap)), cancel)
+		go w.run(x, b, gap, cancel)
 	}
 	return w
 }
 
-// stallLimit returns the time without an event after which a stream is resumed elsewhere. The
-// latency target is the time until the first event there.
-func (x *exchange) stallLimit() time.Duration {
-	return max(callerGaps*x.route.GapTarget-x.route.LatencyTarget, minStallGaps*x.route.GapTarget)
-}
-
 // mayResume reports whether a stream may be resumed on another server.
 func (x *exchange) mayResume() bool { return x.route.Resumable && x.attempts < x.route.Attempts }
 
 func (w *stallWatch) run(x *exchange, b *backend, timeout time.Duration, cancel context.CancelFunc) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	last, limit := time.Now(), x.stallLimit()
+	last, limit := time.Now(), x.standstill()
 	for {
 		select {
 		case <-w.done:
