--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -465,15 +465,14 @@
 }
 
 // ReassignDecode chooses another decode server after a refusal or failure. It counts
-// the job there and no longer at from. It reports false when no other has capacity, for a
-// competing job until ctx ends: its prompt is prefilled, so that it gets what comes free
-// before jobs that have not begun.
+// the job there and no longer at from. It reports false when no other has capacity until ctx ends:
+// the prompt is prefilled, so that the job gets what comes free before jobs that have not begun.
 func (d *Dispatcher[S]) ReassignDecode(ctx context.Context, j *Job, from S, u Use) (s S, ok bool) {
 	d.mu.Lock()
 	p, w := d.waiterLocked(j)
 	w.job.Arrived = d.Now() - j.Waited
 	w.from, w.use = from, u
-	if s, ok = p.move(w); ok || !j.Competing {
+	if s, ok = p.move(w); ok {
 		d.mu.Unlock()
 		return s, ok
 	}
--- a/internal/router/priority_test.go
+++ b/internal/router/priority_test.go
@@ -89,26 +89,30 @@
 // refuses and the others have room soon, within the life of the prefill result. A request
 // that waits for the same memory must not get it first.
 func TestPrefilledPromptsWaitForRoom(t *testing.T) {
-	withFleet(t, func(t *testing.T, f *fleet) {
-		is := is.New(t)
-		f.compete()
-		first, others := decodeServers[0], decodeServers[1:]
-		f.servers.setAll(decodeServers, ok("id: 1\ndata: x\n\n"))
-		f.servers.set(first, refuses)
-		f.fill(others, 60_000)
-		time.AfterFunc(prefillTime+20*time.Millisecond, func() {
-			f.fill([]string{first}, 60_000)
-			f.call(context.Background(), "/stream/second")
+	for _, competing := range []bool{false, true} {
+		withFleet(t, func(t *testing.T, f *fleet) {
+			is := is.New(t)
+			if competing {
+				f.compete()
+			}
+			first, others := decodeServers[0], decodeServers[1:]
+			f.servers.setAll(decodeServers, ok("id: 1\ndata: x\n\n"))
+			f.servers.set(first, refuses)
+			f.fill(others, 60_000)
+			time.AfterFunc(prefillTime+20*time.Millisecond, func() {
+				f.fill([]string{first}, 60_000)
+				f.call(context.Background(), "/stream/second")
+			})
+			time.AfterFunc(prefillTime+200*time.Millisecond, func() { f.fill(others[:1], 31_000) })
+			a := f.call(context.Background(), "/stream/first")
+			is.Equal(a.failure, nil)
+			calls := f.servers.recorded()
+			prefills := slices.DeleteFunc(slices.Clone(calls), func(c string) bool { return !strings.HasPrefix(c, "prefill") })
+			is.Equal(len(prefills), 1) // the second request found no room yet
+			is.Equal(calls[len(calls)-1], others[0])
+			time.Sleep(2 * time.Second)
 		})
-		time.AfterFunc(prefillTime+200*time.Millisecond, func() { f.fill(others[:1], 31_000) })
-		a := f.call(context.Background(), "/stream/first")
-		is.Equal(a.failure, nil)
-		calls := f.servers.recorded()
-		prefills := slices.DeleteFunc(slices.Clone(calls), func(c string) bool { return !strings.HasPrefix(c, "prefill") })
-		is.Equal(len(prefills), 1) // the second request found no room yet
-		is.Equal(calls[len(calls)-1], others[0])
-		time.Sleep(2 * time.Second)
-	})
+	}
 }
 
 // TestNoPrefillForADecodeServerThatIsGone guards against a second prefill while the decode
