--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -141,7 +141,7 @@
 		// A server may be faster than the service is on average.
 		w.job.MinTimeToFirstToken = min(least, timeToFirstToken)
 	}
-	w.setLatestStart()
+	w.setLatestStart(timeToFirstToken)
 	cut := p.cutOff(w, wait, timeToFirstToken)
 	if (cut || !p.sched.Admits(&w.job, w.request.Waited+wait, timeToFirstToken).Admitted) && p.stale(w) {
 		p.observedAt = p.d.Now()
@@ -192,25 +192,36 @@
 }
 
 // setLatestStart sets the latest time at which the job may begin, if its caller's time is known.
-func (w *Waiter[S]) setLatestStart() {
+// timeToFirstToken is predicted from then on.
+func (w *Waiter[S]) setLatestStart(timeToFirstToken time.Duration) {
 	p, left := w.pool, w.request.TimeLeft
 	if left <= 0 {
 		return
 	}
-	w.job.LatestStart = p.d.Now() + left - w.job.MinTimeToFirstToken
+	w.job.LatestStart = p.d.Now() + left - min(timeToFirstToken, w.job.MinTimeToFirstToken)
 	if !p.down {
 		w.job.LatestStart -= p.answerTime(w)
 	}
 }
 
-// stale reports whether the speeds that a refusal would be based on were last observed longer ago
-// than the job's caller waits. Then one job is run all the same: while all are refused, nothing
-// shows that the servers have become faster.
+// stale reports whether a refusal would be based on speeds that nothing confirms: no server runs a
+// job, and the last observation is older than the job's caller waits. Then one job is run all the
+// same: while all are refused, nothing shows that the servers have become faster.
 func (p *pool[S]) stale(w *Waiter[S]) bool {
 	left := w.request.TimeLeft
-	return left > 0 && p.d.Now()-p.observedAt > left
+	if left <= 0 || p.d.Now()-p.observedAt <= left {
+		return false
+	}
+	idle := true
+	for _, s := range p.decodeViews {
+		s.VisitRuns(func(*placement.Run) { idle = false })
+	}
+	return idle
 }
 
+// maxAnswerTime bounds the expected time of an answer, so that it can be added to others.
+const maxAnswerTime = 24 * time.Hour
+
 // answerTime returns the expected duration of an answer at the fastest decode server.
 func (p *pool[S]) answerTime(w *Waiter[S]) time.Duration {
 	step := math.Inf(1)
@@ -219,7 +230,7 @@
 			step = min(step, s.StepMillis())
 		}
 	}
-	return time.Duration(w.need.AnswerTokens * step * float64(time.Millisecond))
+	return time.Duration(min(w.need.AnswerTokens*step*float64(time.Millisecond), float64(maxAnswerTime)))
 }
 
 // state returns the numbers of waiting jobs and of available servers.
