--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -32,9 +32,6 @@
 	orderNotice = 100 * time.Millisecond
 	// orderTimeout bounds the call that gives one order.
 	orderTimeout = time.Second
-	// prefillTargetShare is the fraction of the target for the first token that a request
-	// may spend at its prefill server.
-	prefillTargetShare = 0.5
 )
 
 const millisPerSecond = 1000
@@ -90,7 +87,7 @@
 				orders.Go(func() { r.reassign(ctx, holder, server, directory.Prefill, svc.Engine.StageChangeTime) })
 				continue
 			}
-			d := b.demand(svc.Engine, firstTokenTarget(snap.Config, svc))
+			d := b.demand(svc.Engine, r.prefillTime(snap.Config, svc))
 			n := len(prefills) - d.bestSplit(prefills, decodes)
 			if !b.lasting(n, svc.Engine.StageChangeTime) {
 				continue
@@ -127,13 +124,21 @@
 	return shortest(c, service, func(r *directory.Route) time.Duration { return r.LatencyTarget })
 }
 
+// prefillTime returns the time that a request may spend at its prefill server: the target for the
+// first token less the time that the decode takes to start.
+func (r *Router) prefillTime(c *directory.Config, service *directory.Service) time.Duration {
+	start := time.Duration(r.fleet.speedsOf(service.Name).StartMillis() * float64(time.Millisecond))
+	return max(firstTokenTarget(c, service)-start, 0)
+}
+
 // demand returns the demand of a service, up to a factor: the work in the time that the
-// decayed sums cover, relative to that time. target is that for the first token.
-func (b *balance) demand(e *directory.Engine, target time.Duration) stageDemand {
+// decayed sums cover, relative to that time. prefillTime is the time that a request may spend at
+// its prefill server.
+func (b *balance) demand(e *directory.Engine, prefillTime time.Duration) stageDemand {
 	seconds := averagingTime.Seconds()
 	d := stageDemand{prefill: b.prefillWork / seconds, decode: b.decodeWork / seconds, runs: b.runs}
 	if b.runMemory > 0 {
-		d.prefillsPerServer = max(1, prefillTargetShare*target.Seconds()*b.runs/b.prefillWork)
+		d.prefillsPerServer = max(1, prefillTime.Seconds()*b.runs/b.prefillWork)
 		d.runsPerServer = min(float64(e.Slots), projectedShare*float64(e.MemoryTokens)*b.runs/b.runMemory)
 	}
 	return d
