--- a/internal/router/balance_test.go
+++ b/internal/router/balance_test.go
@@ -147,3 +147,27 @@
 	}
 	is.True(len(r.budgets) <= 2)
 }
+
+// rankedPeers are the peers of an entry with a rank.
+type rankedPeers struct {
+	Peers
+	rank, entries int
+}
+
+func (p rankedPeers) Rank(string) (rank, entries int) { return p.rank, p.entries }
+
+// TestRefusedTrialsComeBackInTheirTurn guards callers whose request could not have its trial
+// against coming back while another entry has its turn.
+func TestRefusedTrialsComeBackInTheirTurn(t *testing.T) {
+	is := is.New(t)
+	for entries := 1; entries <= maxTrialEntries; entries++ {
+		for rank := range entries {
+			r := &Router{options: Options{Peers: rankedPeers{rank: rank, entries: entries}}}
+			for since := time.Duration(0); since < 4*time.Second; since += 70 * time.Millisecond {
+				next := r.nextTrialTurn("s", since)
+				is.True(next > 0 && next <= time.Duration(entries+1)*trialTurn)
+				is.True(r.hasTrialTurn("s", since+next))
+			}
+		}
+	}
+}
--- a/internal/router/trial.go
+++ b/internal/router/trial.go
@@ -23,9 +23,6 @@
 	maxTrialEntries = 8
 	// trialPoll is the interval at which a waiting request looks whether it may begin.
 	trialPoll = 10 * time.Millisecond
-	// trialRetry is the advised delay after a request was refused that could not have its
-	// trial in time.
-	trialRetry = time.Second
 )
 
 // errSuspected is the error of a call that could not have its trial in time.
@@ -68,6 +65,22 @@
 	return turn == rank && since%trialTurn < trialTurn/2
 }
 
+// nextTrialTurn returns the time until this entry's next turn to begin a trial, some time after the
+// end of a server.
+func (r *Router) nextTrialTurn(server string, since time.Duration) time.Duration {
+	rank, entries := 0, 1
+	if r.options.Peers != nil {
+		rank, entries = r.options.Peers.Rank(server)
+	}
+	entries = max(1, min(entries, maxTrialEntries))
+	round := time.Duration(entries) * trialTurn
+	first := trialTurn + time.Duration(rank%entries)*trialTurn
+	if since < first {
+		return first - since
+	}
+	return round - (since-first)%round
+}
+
 // endTrial ends the trial of the call, if it is on one. failed is set if its server ended.
 func (x *exchange) endTrial(failed bool) {
 	if !x.onTrial {
@@ -83,11 +96,15 @@
 		return refusal
 	}
 	x.warn("refused under suspicion", "failed_trial", x.failedTrial)
+	delay, now := trialTurn, time.Now()
+	if end, _ := x.router.blame.Suspected(x.causes(), now); end != nil {
+		delay = x.router.nextTrialTurn(end.Boot.ID, now.Sub(end.At))
+	}
 	const remedy = "retry after the delay; it is refused for longer if more servers end under it"
 	if x.attempts > 0 {
 		return apierror.Unknown(apierror.KindEndsServers, errSuspected.Error(), remedy)
 	}
-	return apierror.NotRun(apierror.KindEndsServers, errSuspected.Error(), remedy).WithRetryAfter(sleep.Jitter(trialRetry))
+	return apierror.NotRun(apierror.KindEndsServers, errSuspected.Error(), remedy).WithRetryAfter(min(delay, maxAdvisedDelay(x.call)))
 }
 
 // spares reports whether a stage of a service does not depend on a single server: two take
