--- a/internal/dispatch/compete.go
+++ b/internal/dispatch/compete.go
@@ -148,6 +148,9 @@
 	}
 	p.sizes.Add(float64(j.PromptTokens))
 	w.job.Ahead = p.aheadOf(j)
+	if !p.down {
+		p.competing.runTime.Add((w.job.MinTimeToFirstToken + p.answerTime(w)).Seconds())
+	}
 	if j.Priority <= j.MostUrgent {
 		return
 	}
@@ -161,23 +164,18 @@
 	}
 }
 
-const (
-	// competitionWindow is the time constant with which the memory that more urgent jobs
-	// lately used is forgotten. Bursts last 3 to 5 s, and between two of them the reserve
-	// shall remain.
-	competitionWindow = 5 * time.Second
-	// shortageMemory is the time for which memory counts as short after a job last waited
-	// or was refused: a run that is admitted then holds its memory for about 3 s.
-	shortageMemory = 3 * time.Second
-	// competitionInterval bounds how often the runs of all servers are added up.
-	competitionInterval = 20 * time.Millisecond
-)
+// competitionInterval bounds how often the runs of all servers are added up.
+const competitionInterval = 20 * time.Millisecond
 
 // competition measures the share of the decode memory that jobs of each priority use.
 type competition struct {
 	// enabled is set once jobs of different priorities were offered.
 	enabled    bool
 	observedAt time.Duration
+	// runTime is the mean time in seconds for which runs hold their memory. For so long memory
+	// counts as short after a job last waited or was refused, and it is the time constant with
+	// which the memory that more urgent jobs lately used is forgotten.
+	runTime predict.Mean
 	// shortUntil is the time until which memory counts as short.
 	shortUntil time.Duration
 	// levels are in ascending order of priority.
@@ -197,12 +195,17 @@
 	missedTarget time.Duration
 }
 
+// holdTime returns the time for which a run holds its memory.
+func (c *competition) holdTime() time.Duration {
+	return time.Duration(c.runTime.Value(0) * float64(time.Second))
+}
+
 // recordShortage records that a job waits or was refused.
-func (c *competition) recordShortage(now time.Duration) { c.shortUntil = now + shortageMemory }
+func (c *competition) recordShortage(now time.Duration) { c.shortUntil = now + c.holdTime() }
 
 // observe adds up the runs of the decode servers.
 func (c *competition) observe(now time.Duration, decodes []*placement.Server) {
-	keep := math.Exp(-float64(now-c.observedAt) / float64(competitionWindow))
+	keep := math.Exp(-float64(now-c.observedAt) / float64(max(c.holdTime(), 1)))
 	c.observedAt = now
 	for i := range c.levels {
 		c.levels[i].used = 0
@@ -222,7 +225,7 @@
 		l.used = sum
 		l.recently = max(sum, keep*l.recently)
 	}
-	c.levels = slices.DeleteFunc(c.levels, func(l levelUse) bool { return l.recently < 0.001 && now > l.missedAt+shortageMemory })
+	c.levels = slices.DeleteFunc(c.levels, func(l levelUse) bool { return l.recently < 0.001 && now > l.missedAt+c.holdTime() })
 }
 
 func (c *competition) level(priority int) *levelUse {
@@ -248,7 +251,7 @@
 			break
 		}
 		unused = max(0, l.recently-l.used)
-		if now < l.missedAt+shortageMemory && target > l.missedTarget {
+		if now < l.missedAt+c.holdTime() && target > l.missedTarget {
 			missed = max(missed, l.missed.Value(0))
 		}
 	}
