--- a/internal/dispatch/compete.go
+++ b/internal/dispatch/compete.go
@@ -149,7 +149,7 @@
 	p.sizes.Add(float64(j.PromptTokens))
 	w.job.Ahead = p.aheadOf(j)
 	if !p.down {
-		p.competing.runTime.Add((w.job.MinTimeToFirstToken + p.answerTime(w)).Seconds())
+		p.competing.runTime.Add(p.runTime(w).Seconds())
 	}
 	if j.Priority <= j.MostUrgent {
 		return
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -53,6 +53,11 @@
 	if share := p.d.options.MemoryShare; share > 0 {
 		size, usable = float64(w.request.PromptTokens)+w.need.AnswerTokens/2, share*usable
 	}
-	run := w.job.MinTimeToFirstToken + p.answerTime(w)
-	return time.Duration(size / usable * float64(run))
+	return time.Duration(size / usable * float64(p.runTime(w)))
+}
+
+// runTime returns the expected time for which a run of the job holds its memory. A server must
+// take work.
+func (p *pool[S]) runTime(w *Waiter[S]) time.Duration {
+	return w.job.MinTimeToFirstToken + p.answerTime(w)
 }
--- a/internal/predict/quantile.go
+++ b/internal/predict/quantile.go
@@ -1,7 +1,7 @@
 package predict
 
 // Quantile estimates a quantile of samples that are about 1, online, by stochastic approximation
-// (Robbins and Monro, 1951). The zero value, without samples, is 1.
+// (Robbins and Monro, 1951). It is 1 at least. The zero value has no samples.
 type Quantile struct{ above float64 }
 
 // quantileGain is the weight of a sample.
@@ -12,9 +12,9 @@
 	if x > q.Value() {
 		q.above += quantileGain * share
 	} else {
-		q.above -= quantileGain * (1 - share)
+		q.above = max(q.above-quantileGain*(1-share), 0)
 	}
 }
 
 // Value returns the estimate.
-func (q *Quantile) Value() float64 { return 1 + max(q.above, 0) }
+func (q *Quantile) Value() float64 { return 1 + q.above }
