--- a/internal/router/advice.go
+++ b/internal/router/advice.go
@@ -163,8 +163,8 @@
 // for a while.
 func (x *exchange) refuseWithheld(wait time.Duration, stage directory.Stage) *apierror.Error {
 	x.warn("refused before it was sent", "stage", stage, "closed_ms", wait.Milliseconds(), "advice", x.router.fleet.adviceOf(x.service, stage))
-	if wait == 0 { // a limit in requests a second
-		wait = time.Second
+	if wait == 0 { // a limit, in requests a second
+		wait = min(time.Second, time.Duration(float64(maxAdvisedDelay(x.call))/(1+returnSpread)))
 	}
 	wait += time.Duration(rand.Float64() * returnSpread * float64(wait))
 	return apierror.NotRun(apierror.KindOverloaded, "the servers of "+x.service+" take no more requests now", "retry after the delay").WithRetryAfter(wait)
--- a/internal/router/callers_test.go
+++ b/internal/router/callers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/samphirestream/samphirestream/internal/advisory"
 	"github.com/samphirestream/samphirestream/internal/apierror"
 	"github.com/samphirestream/samphirestream/internal/loadexchange"
 	"github.com/samphirestream/samphirestream/internal/router"
@@ -222,3 +223,34 @@
 		is.True(a.first <= target)
 	})
 }
+
+// TestAdvisedDelaysAreFollowed guards callers with little time against delays beyond the third of
+// it that they follow, whatever refuses them.
+func TestAdvisedDelaysAreFollowed(t *testing.T) {
+	const limit = 600 * time.Millisecond
+	for name, refuse := range map[string]func(f *fleet){
+		"limit": func(f *fleet) {
+			for _, id := range plainServers {
+				none := 0.0
+				f.Observe(f.directory.Current().Servers[id], advisory.Notice{ToRequest: true, Limit: &none, Sent: time.Now(), Received: time.Now()})
+			}
+		},
+		"no server": func(f *fleet) {
+			for _, id := range plainServers {
+				f.directory.Remove(id, 0)
+			}
+		},
+		"refused by servers": func(f *fleet) { f.servers.setAll(plainServers, refuses) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				refuse(f)
+				a := f.try(within("/once/x", limit)())
+				is.True(a.failure != nil)
+				is.True(a.failure.RetryAfter > 0)
+				is.True(a.failure.RetryAfter <= limit/3)
+			})
+		})
+	}
+}
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -215,6 +215,7 @@
 			is.Equal(a.failure.Kind, apierror.KindOverloaded)
 			is.Equal(a.failure.Outcome, apierror.OutcomeNotRun)
 			is.True(a.failure.RetryAfter > 0)
+			is.True(a.failure.RetryAfter <= 14*time.Second/3) // callers follow a third of their time
 		}
 	})
 }
