--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -37,6 +37,24 @@
 	})
 }
 
+// TestAnswersThatCanNotEndInTimeAreNotBegun guards engines against prefills for callers that give up
+// before the answer ends.
+func TestAnswersThatCanNotEndInTimeAreNotBegun(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *fleet) {
+		for _, prompt := range []string{"learnt", "learnt again"} {
+			<-f.sendPrompt("entry-1", prompt, false, nil).done
+		}
+		for limit, begun := range map[time.Duration]int{midAnswer: 0, 5 * time.Second: 1} {
+			prompt := fmt.Sprint("within ", limit)
+			body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":100}`, prompt)
+			x := f.sendWithin(limit, "entry-1", http.MethodPost, "/v1/completions", body, nil, nil)
+			<-x.done
+			is.Equal(f.prefills(prompt), begun)
+			is.Equal(x.out.status() == http.StatusOK, begun == 1)
+		}
+	})
+}
+
 func TestCallerDisconnectFreesMemory(t *testing.T) {
 	for _, after := range []time.Duration{10, 60, 110, 150, 400} {
 		t.Run(fmt.Sprint(after), func(t *testing.T) {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -676,7 +676,12 @@
 
 // send sends a request to an entry, without waiting for the response.
 func (f *fleet) send(entryName, method, path, body string, header map[string]string, stall chan struct{}) *exchange {
-	ctx, cancel := context.WithCancel(context.Background())
+	return f.sendWithin(time.Hour, entryName, method, path, body, header, stall)
+}
+
+// sendWithin is send for a caller that gives up after a time.
+func (f *fleet) sendWithin(limit time.Duration, entryName, method, path, body string, header map[string]string, stall chan struct{}) *exchange {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
 	req.Header.Set("Authorization", "Bearer "+testKey)
 	for k, v := range header {
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oklog/ulid/v2"
 
@@ -22,6 +23,9 @@
 	if offered.MayDecode != nil && !e.canContinue(j) {
 		return nil, apierror.NotRun(apierror.KindUnavailable, "no server has the software that began the answer", "send the request again")
 	}
+	if deadline, ok := ctx.Deadline(); ok && !j.urgent {
+		offered.TimeLeft = time.Until(deadline)
+	}
 	w, err := e.sched.Offer(offered)
 	if err != nil {
 		return nil, j.schedulerError(ctx, err)
