--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -127,7 +127,10 @@
 // prefillTime returns the time that a request may spend at its prefill server: the target for the
 // first token less the time that the decode takes to start.
 func (r *Router) prefillTime(c *directory.Config, service *directory.Service) time.Duration {
-	start := time.Duration(r.fleet.speedsOf(service.Name).StartMillis() * float64(time.Millisecond))
+	start := time.Duration(0)
+	r.dispatch.Locked(func() {
+		start = time.Duration(r.fleet.speedsOf(service.Name).StartMillis() * float64(time.Millisecond))
+	})
 	return max(firstTokenTarget(c, service)-start, 0)
 }
 
--- a/internal/router/callers_test.go
+++ b/internal/router/callers_test.go
@@ -186,6 +186,7 @@
 		var all sync.WaitGroup
 		var served, onTime, twice atomic.Int64
 		for range calls {
+			time.Sleep(time.Microsecond) // one after the other
 			all.Go(func() {
 				a := f.try(within("/stream/x", time.Minute)())
 				if a.failure != nil {
