--- a/cmd/samphired/main.go
+++ b/cmd/samphired/main.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/samphirestream/samphirestream/internal/logging"
+	"github.com/samphirestream/samphirestream/internal/membudget"
 	"github.com/samphirestream/samphirestream/internal/node"
 	"github.com/samphirestream/samphirestream/internal/settings"
 	"github.com/samphirestream/samphirestream/platform"
@@ -87,6 +88,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	membudget.LimitHeap(s.Limits.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	n, err := node.New(s, logger)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -150,7 +150,7 @@
 
 func (s *Settings) checkLimits(ps *strictyaml.Problems) {
 	l := s.Limits
-	if l.BodyBytes < 0 || l.HeaderBytes < 0 || l.Queue < 0 {
+	if l.MemoryBytes < 0 || l.Descriptors < 0 || l.BodyBytes < 0 || l.HeaderBytes < 0 || l.Queue < 0 {
 		ps.Add("limits", "give positive values, or leave them out", "a negative value")
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,11 @@
 
 // Limits bound the resources that the process uses. Zero means the default.
 type Limits struct {
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64 `yaml:"memory_bytes,omitempty"`
+	// Descriptors is the number of descriptors that the process may have open; 0 for the
+	// kernel's limit.
+	Descriptors int `yaml:"descriptors,omitempty"`
 	// BodyBytes bounds the size of the body of a caller's request.
 	BodyBytes int64 `yaml:"body_bytes,omitempty"`
 	// HeaderBytes bounds the size of the header of a caller's request.
@@ -127,6 +132,7 @@
 	DefaultRequest     = 2 * time.Minute
 	DefaultNotice      = 3 * time.Second
 	DefaultDrain       = 2 * time.Minute
+	DefaultMemoryBytes = 512 << 20
 	DefaultBodyBytes   = 4 << 20
 	DefaultHeaderBytes = 32 << 10
 	DefaultQueue       = 1024
@@ -177,6 +183,7 @@
 	setDefault(&s.Timeouts.Request, DefaultRequest)
 	setDefault(&s.Timeouts.Notice, DefaultNotice)
 	setDefault(&s.Timeouts.Drain, DefaultDrain)
+	setDefault(&s.Limits.MemoryBytes, DefaultMemoryBytes)
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
 	setDefault(&s.Limits.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&s.Limits.Queue, DefaultQueue)
