ingress: the connections of all ports are bounded

What callers saw: clients that connect and send nothing, or stop, took all descriptors of an entry or an agent, at any port; nobody else got in, and the readiness check was not answered. Bytes that were received and not read, and requests sent ahead, took several times the memory of the machine.

Cause: each http.Server was made at its own place. None had a limit on connections; the readiness and admin ports had no idle timeout and no bound on slow readers, and the rest of a refused body was awaited without a bound there. The kernel's receive buffers grew to megabytes for each connection.

Change: package ingress makes the servers and listeners of all TCP ports, on both grounds. Connections are bounded by port, from the memory and the descriptors; a full port closes a connection that waits for its client in favour of the new one, never one that is served. The receive buffer is bounded on the listener. Answers go through outbuffer at all ports.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -144,6 +144,9 @@
 	return b.Reserve(h, use, n)
 }
 
+// EvictReader disconnects the slowest reader, and reports false if none is behind for long enough.
+func (b *Budget) EvictReader(now time.Time) bool { return b.Evict(now, &Refusal{Scope: ScopeProcess}) }
+
 func (b *Budget) filledByAnswers() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -8,7 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
+
+	"github.com/samphirestream/samphirestream/internal/ingress"
 )
 
 // pipeListener accepts one in-memory connection.
@@ -40,7 +43,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ln := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		server := newCallersServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server := newCallersServer(ingress.New(ingress.Limits{Memory: 64 << 20}, t.Name(), log.NewNopLogger()), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, bodyErr = io.ReadAll(r.Body)
 			w.WriteHeader(http.StatusBadRequest)
 		}), 1<<10)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -13,6 +13,7 @@
 	"github.com/samphirestream/samphirestream/internal/controlplane"
 	"github.com/samphirestream/samphirestream/internal/entry"
 	"github.com/samphirestream/samphirestream/internal/gossip"
+	"github.com/samphirestream/samphirestream/internal/ingress"
 	"github.com/samphirestream/samphirestream/internal/membership"
 	"github.com/samphirestream/samphirestream/internal/metrics"
 	"github.com/samphirestream/samphirestream/internal/transport"
@@ -34,7 +35,7 @@
 func (n *Node) listenPeers() (net.Listener, *gossip.UDP, error) {
 	var last error
 	for range maxPortTries {
-		ln, err := net.Listen("tcp", n.settings.Listen.Peers)
+		ln, err := ingress.Listen(n.settings.Listen.Peers)
 		if err != nil {
 			return nil, nil, errors.Annotatef(err, "listen.peers %s; choose a free address of this VM", n.settings.Listen.Peers)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/samphirestream/samphirestream/internal/agent"
 	"github.com/samphirestream/samphirestream/internal/entry"
 	"github.com/samphirestream/samphirestream/internal/gossip"
+	"github.com/samphirestream/samphirestream/internal/ingress"
 	"github.com/samphirestream/samphirestream/internal/lifecycle"
 	"github.com/samphirestream/samphirestream/internal/membership"
 	"github.com/samphirestream/samphirestream/internal/orders"
@@ -49,12 +50,13 @@
 	usable func() int
 
 	wrapCallers func(http.Handler) http.Handler
+	guard       *ingress.Guard
 
 	// listeners are peersLn, that of callers for an entry, and that of the admin
 	// interface, in this order.
 	listeners []net.Listener
-	callers   *http.Server
-	admin     *http.Server
+	callers   *ingress.Server
+	admin     *ingress.Server
 	peers     *transport.Server
 	peersLn   net.Listener
 
@@ -97,11 +99,13 @@
 		_ = level.Info(logger).Log("msg", "lifecycle", "from", from, "to", to)
 	})
 	n.drain = n.lifecycle.Drain
+	n.guard = ingress.New(ingress.Limits{Memory: s.Limits.MemoryBytes, Descriptors: s.Limits.Descriptors}, s.Node+"/ingress", logger)
 	n.peers = &transport.Server{Self: n.self, Security: security, RPC: rpc.NewServer(), IdleTimeout: s.Timeouts.Lease, Log: logger}
 	var udp *gossip.UDP
 	if n.peersLn, udp, err = n.listenPeers(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	n.peersLn = n.guard.Listener(ingress.Options{Name: "peers", Main: s.Role == settings.RoleAgent}, n.peersLn)
 	n.listeners = append(n.listeners, n.peersLn)
 	if udp != nil {
 		if n.control, err = n.newControl(udp, security); err != nil {
@@ -117,7 +121,7 @@
 }
 
 func (n *Node) listenOn(key, addr string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := ingress.Listen(addr)
 	if err != nil {
 		return nil, errors.Annotatef(err, "%s %s; choose a free address of this VM", key, addr)
 	}
@@ -143,11 +147,12 @@
 
 // newCallersServer returns the HTTP server for callers. Its timeouts bound slow
 // senders; the handler bounds slow readers.
-func newCallersServer(h http.Handler, headerBytes int) *http.Server {
-	return &http.Server{
-		Handler: h, MaxHeaderBytes: headerBytes,
-		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-	}
+func newCallersServer(guard *ingress.Guard, h http.Handler, headerBytes int) *ingress.Server {
+	s := guard.NewServer(ingress.Options{
+		Name: "callers", Main: true, HeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}, h)
+	s.ReadTimeout = readTimeout
+	return s
 }
 
 // assemble creates the entry or agent and the HTTP servers.
@@ -160,7 +165,7 @@
 		e := entry.New(n.entryConfig(), n.store, n.lifecycle, dialer, n.log)
 		n.role, n.usable = e, e.UsableServers
 		snapshot = func() any { return entryState{e.Snapshot(), n.controlDump()} }
-		n.callers = newCallersServer(n.wrapCallers(e.Handler()), s.Limits.HeaderBytes)
+		n.callers = newCallersServer(n.guard, n.wrapCallers(e.Handler()), s.Limits.HeaderBytes)
 		if _, err := n.listenOn("listen.callers", s.Listen.Callers); err != nil {
 			return err
 		}
@@ -174,7 +179,9 @@
 			return errors.Trace(err)
 		}
 	}
-	n.admin = &http.Server{Handler: admin.Handler(n.lifecycle, snapshot), ReadHeaderTimeout: readHeaderTimeout}
+	n.admin = n.guard.NewServer(ingress.Options{
+		Name: "admin", HeaderBytes: s.Limits.HeaderBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}, admin.Handler(n.lifecycle, snapshot))
 	_, err := n.listenOn("listen.admin", s.Listen.Admin)
 	return err
 }
--- a/internal/outbuffer/conn.go
+++ b/internal/outbuffer/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,11 @@
 	err error
 	// closing is set if the connection is closed once the buffer is empty.
 	closing bool
+	// onClose is called when the socket is closed; nil if it was.
+	onClose func()
+
+	// behind is set while reader is not nil.
+	behind atomic.Bool
 }
 
 // Begin sets the request that the next bytes belong to. A nil Conn does nothing.
@@ -172,6 +178,7 @@
 		}
 		n = c.addBlockLocked(p)
 		c.reader = c.listener.budget.AddReader(c.holder, time.Now(), func() { c.disconnect(errSlowest) })
+		c.behind.Store(true)
 		c.listener.draining.Add(1)
 		go c.drain(c.reader)
 		return n, true, nil
@@ -225,9 +232,10 @@
 	c.releaseLocked(len(c.blocks))
 	c.reader.Remove()
 	c.reader = nil
+	c.behind.Store(false)
 	_ = c.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	if c.closing || c.err != nil {
-		_ = c.tcp.Close()
+		_ = c.closeLocked()
 		if c.err == nil {
 			c.err = errClosed
 		}
@@ -320,7 +328,7 @@
 		c.logDisconnect(err, unsent)
 	}
 	_ = c.tcp.SetLinger(0)
-	_ = c.tcp.Close() // ends the goroutine that drains
+	_ = c.closeLocked() // ends the goroutine that drains
 	c.signal()
 }
 
@@ -344,9 +352,30 @@
 	if c.err == nil {
 		c.err = errClosed
 	}
-	return c.tcp.Close()
+	return c.closeLocked()
+}
+
+// closeLocked closes the socket.
+func (c *Conn) closeLocked() error {
+	err := c.tcp.Close()
+	if c.onClose != nil {
+		c.onClose()
+		c.onClose = nil
+	}
+	return err
 }
 
+// OnClose sets a function that is called once when the socket is closed, which may be after
+// Close. It must not call methods of the connection, except Behind. It is to be set before the
+// connection is used.
+func (c *Conn) OnClose(f func()) { c.onClose = f }
+
+// Behind reports whether bytes are unsent. A nil Conn has none.
+func (c *Conn) Behind() bool { return c != nil && c.behind.Load() }
+
+// Evict ends the connection at once in favour of others, with the bytes that are unsent.
+func (c *Conn) Evict() { c.disconnect(errSlowest) }
+
 // CloseWrite ends the sending direction. While bytes are unsent, Close does.
 func (c *Conn) CloseWrite() error {
 	c.mu.Lock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -17,6 +17,13 @@
 // StreamHandler serves a token stream until the connection ends.
 type StreamHandler func(conn *Stream, from protocol.NodeRef)
 
+// established is implemented by connections that may be closed in favour of others until the
+// peer is known.
+type established interface {
+	// Established reports whether the connection was kept.
+	Established() bool
+}
+
 // Server accepts connections from other processes.
 type Server struct {
 	Self     protocol.NodeRef
@@ -98,6 +105,9 @@
 		_ = level.Warn(s.Log).Log("msg", "refused a connection", "peer", raw.RemoteAddr(), "err", err)
 		return
 	}
+	if bounded, ok := raw.(established); ok && !bounded.Established() {
+		return // closed in favour of others
+	}
 	if hello.Channel == ChannelRPC {
 		s.RPC.ServeCodec(serverCodec{newCodec(&idleConn{Conn: conn, idleTimeout: s.IdleTimeout}), &s.pending})
 		return
