ingress: the memory of headers is counted before it is taken

What callers saw: an entry's memory grew past that of its machine by clients whose headers had a legal size and very many short fields, whole or not; others were not served.

Cause: net/http parses a header into a map with a string and a slice for each field before any handler runs, so the memory budget knew nothing of it. 15 KB of header took about 300 KB, for as long as the rest of the header or the body was awaited.

Change: a connection takes memory for a header from the bytes and lines that it reads, before net/http gets them, from the budget of bodies and answers; the handler corrects the figure. If the memory is used up, requests that stand still are given up, the longest first; else the header is answered 503 and the rest is read for 500 ms, so that the client gets the answer.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,19 +1,56 @@
 package ingress
 
 import (
+	"bytes"
 	"container/list"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/samphirestream/samphirestream/internal/membudget"
 	"github.com/samphirestream/samphirestream/internal/outbuffer"
 )
 
-// linger is the time for which the rest of a refused request is read, so that it does not reset
-// the connection before the client has read the answer.
-const linger = 500 * time.Millisecond
+// Memory of a header.
+const (
+	// fieldBytes is the memory of a field beside its text: an entry of a map, a slice and a name,
+	// and the same in a copy that is sent on.
+	fieldBytes = 256
+	// textFactor is the number of copies of the text of a header.
+	textFactor = 2
+	// maxAhead is the size in bytes of the buffer in which net/http may already hold the
+	// beginning of the next request.
+	maxAhead = 4 << 10
+)
+
+// Times of an answer that refuses a request.
+const (
+	// refusalRetry is the advised delay when a header does not fit into the memory.
+	refusalRetry = time.Second
+	// linger is the time for which the rest of a refused request is read, so that it does not
+	// reset the connection before the client has read the answer.
+	linger = 500 * time.Millisecond
+)
+
+// refusal is the answer to a header that does not fit into the memory.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// errRefused ends the reading of a request that was refused, or whose connection was closed in
+// favour of another one. net/http does not answer it, as it is an error of the network.
+type errRefused struct{}
+
+// Error implements the error interface.
+func (errRefused) Error() string { return "the connection was refused in favour of others" }
+
+// Timeout and Temporary implement net.Error.
+func (errRefused) Timeout() bool   { return true }
+func (errRefused) Temporary() bool { return false }
 
 // Conn is a connection of a client.
 type Conn struct {
@@ -21,6 +58,15 @@
 	port *port
 	out  *outbuffer.Conn // Conn, or nil
 
+	// inHeader is set while the bytes that are read belong to a header.
+	inHeader atomic.Bool
+	// account holds the memory of the header. It is nil where the protocol is not HTTP.
+	account *membudget.Request
+	// sender is not nil once a part of a header has come without the rest.
+	sender *membudget.Sender
+	// ahead is the memory that a header in the bytes that were read last would need.
+	ahead int64
+
 	leave sync.Once
 
 	// The lock of the port guards the fields below.
@@ -31,6 +77,9 @@
 
 func newConn(nc net.Conn, p *port) *Conn {
 	c := &Conn{Conn: nc, port: p}
+	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // "" for other networks
+	c.account = p.guard.budget.Open(membudget.Holder{Caller: host})
+	c.inHeader.Store(true)
 	if out, ok := nc.(*outbuffer.Conn); ok {
 		c.out = out
 		out.OnClose(c.closed)
@@ -39,7 +88,10 @@
 }
 
 func (c *Conn) closed() {
-	c.leave.Do(func() { c.port.leave(c) })
+	c.leave.Do(func() {
+		c.account.Close()
+		c.port.leave(c)
+	})
 }
 
 // Close implements net.Conn.
@@ -71,14 +123,67 @@
 // Established records that a connection whose protocol is not HTTP is one of a known peer. It
 // reports false if the connection was closed in favour of another one.
 func (c *Conn) Established() bool {
+	c.inHeader.Store(false)
+	c.account.Close()
 	return c.port.enter(c, running)
 }
 
+// Read implements net.Conn. It takes memory for a header before net/http can parse it.
+func (c *Conn) Read(p []byte) (int, error) {
+	inHeader := c.inHeader.Load()
+	if inHeader && c.sender == nil && c.account.Held(membudget.Headers) > 0 {
+		c.sender = c.account.AddSender(time.Now(), c.evict)
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	need := headerMemory(n, bytes.Count(p[:n], []byte("\n")))
+	if !inHeader {
+		c.ahead = min(need, headerMemory(maxAhead, maxAhead))
+		return n, err
+	}
+	now := time.Now()
+	c.sender.Moved(now, int64(n))
+	if c.account.Reserve(now, membudget.Headers, need+c.ahead) != nil {
+		c.refuse()
+		return 0, errRefused{}
+	}
+	c.ahead = 0
+	return n, err
+}
+
+// headerMemory returns the memory that a header of that many bytes and fields needs.
+func headerMemory(text, fields int) int64 { return int64(textFactor*text + fieldBytes*fields) }
+
+// refuse answers a request whose header does not fit into the memory.
+func (c *Conn) refuse() {
+	if !c.port.enter(c, finishing) {
+		return
+	}
+	c.account.Close()
+	if _, err := c.Conn.Write([]byte(refusal)); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	if c.SetReadDeadline(time.Now().Add(linger)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+}
+
 // awaitHeader records that the next request is awaited.
 func (c *Conn) awaitHeader() {
+	c.account.Resize(time.Time{}, membudget.Headers, 0)
+	c.inHeader.Store(true)
 	c.port.enter(c, idle)
 }
 
+// begin records that a header has been read.
+func (c *Conn) begin() {
+	c.inHeader.Store(false)
+	c.sender.Remove()
+	c.sender = nil
+}
+
 type contextKey struct{}
 
 // from returns the connection of a request, nil if it has none.
@@ -87,7 +192,7 @@
 	return c
 }
 
-// wrap returns a handler that records how far the connections have come.
+// wrap returns a handler that serves requests whose header fits into the memory.
 func (p *port) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := from(r.Context())
@@ -104,6 +209,32 @@
 			}
 			p.enter(c, finishing)
 		}()
+		if err := c.account.Resize(time.Now(), membudget.Headers, memoryOf(r)); err != nil {
+			w.Header().Set("Connection", "close")
+			p.refuseRequest(w, r, err)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// memoryOf returns the memory of a request's header.
+func memoryOf(r *http.Request) int64 {
+	text, fields := len(r.RequestURI)+len(r.Host), 0
+	for name, values := range r.Header {
+		fields += len(values)
+		for _, v := range values {
+			text += len(name) + len(v)
+		}
+	}
+	return headerMemory(text, fields)
+}
+
+func (p *port) refuseRequest(w http.ResponseWriter, r *http.Request, err error) {
+	if p.Refuse != nil {
+		p.Refuse(w, r, err)
+		return
+	}
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, errors.Cause(err).Error(), http.StatusServiceUnavailable)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -92,11 +92,14 @@
 func (g *Guard) publishMemory() {
 	for name, value := range map[string]func(membudget.Stats) int64{
 		"memory_limit_bytes":   func(s membudget.Stats) int64 { return s.Limit },
+		"memory_headers_bytes": func(s membudget.Stats) int64 { return s.Headers },
 		"memory_bodies_bytes":  func(s membudget.Stats) int64 { return s.Bodies },
 		"memory_answers_bytes": func(s membudget.Stats) int64 { return s.Answers },
 		"memory_peak_bytes":    func(s membudget.Stats) int64 { return s.Peak },
 		"slow_readers":         func(s membudget.Stats) int64 { return int64(s.Readers) },
 		"slow_readers_evicted": func(s membudget.Stats) int64 { return s.Evicted },
+		"slow_senders":         func(s membudget.Stats) int64 { return int64(s.Senders) },
+		"slow_senders_evicted": func(s membudget.Stats) int64 { return s.SendersEvicted },
 		"memory_refused":       func(s membudget.Stats) int64 { return s.Refused[membudget.ScopeProcess] },
 		"memory_refused_share": func(s membudget.Stats) int64 {
 			return s.Refused[membudget.ScopeCaller] + s.Refused[membudget.ScopeOrganisation]
@@ -117,6 +120,8 @@
 	// HeaderTimeout is the maximum time to receive a request's header, and IdleTimeout that for
 	// which a connection may be idle between requests.
 	HeaderTimeout, IdleTimeout time.Duration
+	// Refuse, if not nil, answers a request whose header does not fit into the memory.
+	Refuse func(http.ResponseWriter, *http.Request, error)
 }
 
 // Server is an HTTP server whose connections are bounded.
--- a/internal/ingress/port.go
+++ b/internal/ingress/port.go
@@ -231,7 +231,10 @@
 	if !ok {
 		return
 	}
-	if s == http.StateIdle {
+	switch s {
+	case http.StateActive:
+		c.begin()
+	case http.StateIdle:
 		c.awaitHeader()
 	}
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,9 +1,9 @@
 // Package membudget keeps one budget of bytes for what a process holds on behalf of its
-// callers: request bodies, and answers that callers have not taken yet. It does no I/O and is
-// told the time.
+// callers: headers and bodies of requests, and answers that callers have not taken yet. It does
+// no I/O and is told the time.
 //
-// Load answered: callers that read slowly, many at once or of one organisation, and bodies
-// that are large or have no end.
+// Load answered: callers that read or send slowly, many at once or of one organisation, and
+// requests that are large, have many fields or no end.
 package membudget
 
 import (
@@ -26,8 +26,9 @@
 
 // Uses of the budget.
 const (
-	// Bodies are those of requests. A request whose body does not fit has not begun.
-	Bodies Use = iota
+	// Headers and Bodies are those of requests. A request that does not fit has not begun.
+	Headers Use = iota
+	Bodies
 	// Answers are parts of answers. They may use the whole budget, since the work on them
 	// is done already.
 	Answers
@@ -35,9 +36,9 @@
 )
 
 const (
-	// bodyShare is the fraction of the budget up to which bodies are taken in. The rest is
-	// for the answers to the requests that are running.
-	bodyShare = 0.75
+	// requestShare is the fraction of the budget up to which requests are taken in. The rest is
+	// for the answers to those that are running.
+	requestShare = 0.75
 	// freeFactor bounds the bytes of one holder to this multiple of the bytes that are free
 	// (dynamic thresholds: Choudhury and Hahne, IEEE/ACM ToN 1998). One holder gets at most
 	// 2/3 of the budget, two get 2/5 each, and there is always a part left for the others;
@@ -79,13 +80,17 @@
 
 // Stats are the figures of a budget.
 type Stats struct {
-	Limit, Bodies, Answers, Peak int64
+	Limit, Headers, Bodies, Answers, Peak int64
 	// Readers are the callers that are behind with their answers.
 	Readers int
 	// Refused counts the refusals by scope, and Evicted the readers that were disconnected
 	// in favour of others.
 	Refused map[Scope]int64
 	Evicted int64
+	// Senders are the requests that are awaited, and SendersEvicted those that were disconnected
+	// in favour of others.
+	Senders        int
+	SendersEvicted int64
 }
 
 // Budget is safe for concurrent use.
@@ -100,13 +105,16 @@
 	readers       map[*Reader]struct{}
 	refused       map[Scope]int64
 	evicted       int64
+
+	senders        map[*Sender]struct{}
+	sendersEvicted int64
 }
 
 // New returns an empty budget of limit bytes.
 func New(limit int64) *Budget {
 	return &Budget{
 		limit: limit, callers: map[string]int64{}, organisations: map[string]int64{},
-		readers: map[*Reader]struct{}{}, refused: map[Scope]int64{},
+		readers: map[*Reader]struct{}{}, refused: map[Scope]int64{}, senders: map[*Sender]struct{}{},
 	}
 }
 
@@ -116,8 +124,8 @@
 	defer b.mu.Unlock()
 	total := b.totalLocked()
 	limit := b.limit
-	if use == Bodies {
-		limit = int64(bodyShare * float64(b.limit))
+	if use != Answers {
+		limit = int64(requestShare * float64(b.limit))
 	}
 	if total+n > limit {
 		return b.refuseLocked(&Refusal{Scope: ScopeProcess, Holder: h, Bytes: n, Used: total, Limit: limit})
@@ -133,12 +141,15 @@
 	return nil
 }
 
-// ReserveOrEvict is Reserve, but disconnects the slowest reader (see Evict) if the bytes do not
-// fit, and tries once more.
+// ReserveOrEvict is Reserve, but if the bytes do not fit it disconnects slow senders until they
+// do (see EvictSender), then the slowest reader (see Evict), and tries again.
 func (b *Budget) ReserveOrEvict(now time.Time, h Holder, use Use, n int64) error {
 	err := b.Reserve(h, use, n)
 	var refusal *Refusal
-	if !errors.As(err, &refusal) || use == Bodies && !b.filledByAnswers() || !b.Evict(now, refusal) {
+	for errors.As(err, &refusal) && b.EvictSender(now, refusal) {
+		err = b.Reserve(h, use, n)
+	}
+	if !errors.As(err, &refusal) || use != Answers && !b.filledByAnswers() || !b.Evict(now, refusal) {
 		return err
 	}
 	return b.Reserve(h, use, n)
@@ -168,7 +179,7 @@
 	b.addLocked(h, use, -n)
 }
 
-func (b *Budget) totalLocked() int64 { return b.used[Bodies] + b.used[Answers] }
+func (b *Budget) totalLocked() int64 { return b.used[Headers] + b.used[Bodies] + b.used[Answers] }
 
 func (b *Budget) refuseLocked(r *Refusal) error {
 	b.refused[r.Scope]++
@@ -199,8 +210,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := Stats{
-		Limit: b.limit, Bodies: b.used[Bodies], Answers: b.used[Answers], Peak: b.peak,
+		Limit: b.limit, Headers: b.used[Headers], Bodies: b.used[Bodies], Answers: b.used[Answers], Peak: b.peak,
 		Readers: len(b.readers), Refused: map[Scope]int64{}, Evicted: b.evicted,
+		Senders: len(b.senders), SendersEvicted: b.sendersEvicted,
 	}
 	for scope, n := range b.refused {
 		out.Refused[scope] = n
@@ -208,12 +220,15 @@
 	return out
 }
 
-// Request is what one request holds. A nil Request has no bound. It is not safe for
-// concurrent use.
+// Request is what one request holds. A nil Request has no bound. It is safe for concurrent use.
 type Request struct {
 	budget *Budget
 	holder Holder
-	held   [uses]int64
+
+	mu   sync.Mutex // guards the fields below
+	held [uses]int64
+	// evicted is set when its sender was disconnected. It holds nothing after that.
+	evicted bool
 }
 
 // Open returns the account of a request that holds nothing yet.
@@ -227,15 +242,63 @@
 	if err := r.budget.ReserveOrEvict(now, r.holder, use, n); err != nil {
 		return err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.evicted {
+		r.budget.Release(r.holder, use, n)
+		return &Refusal{Scope: ScopeProcess, Holder: r.holder, Bytes: n, Limit: r.budget.limit}
+	}
 	r.held[use] += n
 	return nil
 }
 
+// Resize changes what the request holds for a use to n bytes.
+func (r *Request) Resize(now time.Time, use Use, n int64) error {
+	if r == nil {
+		return nil
+	}
+	more := n - r.Held(use)
+	if more > 0 {
+		return r.Reserve(now, use, more)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if less := r.held[use] - n; less > 0 {
+		r.budget.Release(r.holder, use, less)
+		r.held[use] = n
+	}
+	return nil
+}
+
+// Held returns the bytes that the request holds for a use.
+func (r *Request) Held(use Use) int64 {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held[use]
+}
+
 // Close releases all that the request holds.
 func (r *Request) Close() {
 	if r == nil {
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releaseLocked()
+}
+
+// evict closes the request for good.
+func (r *Request) evict() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releaseLocked()
+	r.evicted = true
+}
+
+func (r *Request) releaseLocked() {
 	for use, n := range r.held {
 		if n > 0 {
 			r.budget.Release(r.holder, Use(use), n)
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -87,3 +87,32 @@
 	})
 	is.New(t).Equal(n, 0.0)
 }
+
+// TestSlowSendersAreEvicted guards against requests that stand still and keep others out, and
+// against the eviction of one that moves while others stand still.
+func TestSlowSendersAreEvicted(t *testing.T) {
+	is := is.New(t)
+	b, start := New(1000), time.Now()
+	var gone []string
+	send := func(name string) (*Request, *Sender) {
+		r := b.Open(Holder{})
+		is.NoErr(r.Reserve(start, Bodies, 200))
+		return r, r.AddSender(start, func() { gone = append(gone, name) })
+	}
+	stalled, _ := send("stalled")
+	_, moving := send("moving")
+	_, faster := send("faster")
+	next := b.Open(Holder{})
+	is.Equal(scopeOf(next.Reserve(start.Add(minBlocked/2), Bodies, 200)), ScopeProcess) // none is slow yet
+	later := start.Add(2 * minBlocked)
+	moving.Moved(later, 10)
+	faster.Moved(later, 20)
+	for range 2 {
+		is.NoErr(next.Reserve(later, Bodies, 200))
+	}
+	is.Equal(gone, []string{"stalled", "moving"})
+	is.True(moving.Evicted() && !faster.Evicted())
+	is.True(stalled.Reserve(later, Bodies, 1) != nil) // it holds nothing any more
+	next.Close()
+	is.Equal(b.Stats().Bodies, int64(200))
+}
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -75,6 +75,11 @@
 }{
 	{"silent", true, func(io.Writer, string) {}},
 	{"idle after a request", true, func(w io.Writer, head string) { fmt.Fprintf(w, "%sContent-Length: 0\r\n\r\n", head) }},
+	{"unfinished header", true, func(w io.Writer, head string) { fmt.Fprint(w, head, shortFields) }},
+	{"many short fields", false, func(w io.Writer, head string) {
+		fmt.Fprint(w, head, shortFields, "Content-Length: 100\r\n\r\n")
+		_, _ = w.Write(body[:99])
+	}},
 	{"body that stops short", true, func(w io.Writer, head string) {
 		fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", head, bodyBytes)
 		_, _ = w.Write(body[:bodyBytes-1])
@@ -99,6 +104,10 @@
 		pieces(w, []byte(strings.Repeat(head+"Content-Length: 0\r\n\r\n", 2000)), 16<<10, "")
 	}},
 	{"slow header", false, func(w io.Writer, head string) { slowly(w, head+shortFields) }},
+	{"slow body", false, func(w io.Writer, head string) {
+		fmt.Fprintf(w, "%s%sContent-Length: %d\r\n\r\n", head, shortFields, bodyBytes)
+		slowly(w, string(body[:bodyBytes]))
+	}},
 }
 
 // slowly writes the beginning of a text byte by byte.
