ingress: bodies are read within the memory on both grounds

What callers saw: on the project's own ground bodies of legal size that stop short took several times the memory of an entry, and its garbage collector the processor. On the users' platform clients that stopped short kept the part of the budget for bodies for 5 s, in which callers were refused.

Cause: the entry of the own ground read bodies without a budget, with one bound of a minute for the whole. The budget of the platform refused new bodies and never gave up the old ones.

Change: ingress.ReadBody reads the bodies of both grounds: memory is taken before a piece is allocated, on the own ground also for the copies that are made; a body must move. A body that stands still is given up in favour of others, and answered 408. The rest of a body that no handler reads has 5 s at all ports.

--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -167,7 +167,6 @@
 			return
 		}
 		defer done()
-		r.Body = http.MaxBytesReader(w, r.Body, e.cfg.MaxBodyBytes)
 		next(w, r, provider)
 	})
 }
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -1,15 +1,19 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	stderrors "errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/samphirestream/samphirestream/internal/apierror"
+	"github.com/samphirestream/samphirestream/internal/ingress"
+	"github.com/samphirestream/samphirestream/internal/membudget"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/release"
 )
@@ -56,11 +60,15 @@
 }
 
 // readRequest decodes the body of a completion or chat request.
-func readRequest(r *http.Request) (completionRequest, *apierror.Error) {
+func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (completionRequest, *apierror.Error) {
 	var in completionRequest
-	dec := json.NewDecoder(r.Body)
-	if err := dec.Decode(&in); err != nil {
-		return in, bodyError(err)
+	body, refusal := e.readBody(w, r)
+	if refusal != nil {
+		return in, refusal
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if refusal := decodeBody(dec, &in); refusal != nil {
+		return in, refusal
 	}
 	if _, err := dec.Token(); err != io.EOF {
 		return in, badRequest("the body goes on after its JSON object")
@@ -71,12 +79,37 @@
 	return in, nil
 }
 
-func bodyError(err error) *apierror.Error {
-	var tooLarge *http.MaxBytesError
-	if stderrors.As(err, &tooLarge) {
-		return apierror.NotRun(apierror.KindBodyTooLarge, fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit), "send a shorter request")
+func decodeBody(dec *json.Decoder, v any) *apierror.Error {
+	if err := dec.Decode(v); err != nil {
+		return badRequest("the body is not a valid JSON request: %v", err)
+	}
+	return nil
+}
+
+const (
+	// bodyTimeout bounds the time to receive a request body.
+	bodyTimeout = time.Minute
+	// bodyCopies is the number of copies of a body that are made of it: a prompt and the message
+	// to an agent.
+	bodyCopies = 2
+)
+
+// readBody reads the body of a request into memory that is taken first.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apierror.Error) {
+	body, err := ingress.ReadBody(w, r, ingress.BodyOptions{Limit: int(e.cfg.MaxBodyBytes), Timeout: bodyTimeout, Copies: bodyCopies, Memory: ingress.Memory(r)})
+	var noMemory *membudget.Refusal
+	switch {
+	case err == nil:
+		return body, nil
+	case stderrors.As(err, &noMemory):
+		return nil, apierror.NotRun(apierror.KindOverloaded, err.Error(), "retry after the delay").WithRetryAfter(overloadRetry)
+	case stderrors.Is(err, ingress.ErrBodyTooLarge):
+		return nil, apierror.NotRun(apierror.KindBodyTooLarge, fmt.Sprintf("the body exceeds %d bytes", e.cfg.MaxBodyBytes), "send a shorter request")
+	case stderrors.Is(err, os.ErrDeadlineExceeded):
+		return nil, apierror.NotRun(apierror.KindRequestTimeout, "the body did not come in time", "send the request again")
+	default:
+		return nil, badRequest("the body was not sent whole: %v", err)
 	}
-	return badRequest("the body is not a valid JSON request: %v", err)
 }
 
 // prompt returns the prompt of a completion request: a string, or an array of
@@ -184,7 +217,7 @@
 
 // serveModel serves a completion or chat request.
 func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request, p release.Provider, f format, promptOf func(*completionRequest) (string, *apierror.Error)) {
-	in, refusal := readRequest(r)
+	in, refusal := e.readRequest(w, r)
 	if refusal != nil {
 		e.writeError(w, r, refusal)
 		return
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -49,8 +49,12 @@
 // entry.
 func (e *Entry) serveTicket(w http.ResponseWriter, r *http.Request, p release.Provider) {
 	var in ticketRequest
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		e.writeError(w, r, bodyError(err))
+	body, refusal := e.readBody(w, r)
+	if refusal == nil {
+		refusal = decodeBody(json.NewDecoder(bytes.NewReader(body)), &in)
+	}
+	if refusal != nil {
+		e.writeError(w, r, refusal)
 		return
 	}
 	if len(e.store.Current().ServiceServers(in.Service)) == 0 {
@@ -121,9 +125,9 @@
 		e.writeError(w, r, apierror.NotRun(apierror.KindNotFound, fmt.Sprintf("%s %s is not declared for service %s", r.Method, rest, service.Name), "ask the operators to declare the call"))
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		e.writeError(w, r, bodyError(err))
+	body, refusal := e.readBody(w, r)
+	if refusal != nil {
+		e.writeError(w, r, refusal)
 		return
 	}
 	args := protocol.CallArgs{
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -203,9 +203,14 @@
 		if !p.enter(c, running) {
 			panic(http.ErrAbortHandler) // its connection was closed when its header was whole
 		}
+		control := http.NewResponseController(w)
+		hasBody := HasBody(r)
+		if hasBody {
+			_ = control.SetReadDeadline(time.Now().Add(BodyStall)) // fails only if it is closed
+		}
 		defer func() {
-			if r.ContentLength != 0 && r.Body != http.NoBody {
-				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(linger)) // fails only if it is closed
+			if hasBody {
+				_ = control.SetReadDeadline(time.Now().Add(linger))
 			}
 			p.enter(c, finishing)
 		}()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,18 +141,15 @@
 // Timeouts for callers that send slowly or keep idle connections.
 const (
 	readHeaderTimeout = 10 * time.Second
-	readTimeout       = time.Minute
 	idleTimeout       = 2 * time.Minute
 )
 
 // newCallersServer returns the HTTP server for callers. Its timeouts bound slow
 // senders; the handler bounds slow readers.
 func newCallersServer(guard *ingress.Guard, h http.Handler, headerBytes int) *ingress.Server {
-	s := guard.NewServer(ingress.Options{
+	return guard.NewServer(ingress.Options{
 		Name: "callers", Main: true, HeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}, h)
-	s.ReadTimeout = readTimeout
-	return s
 }
 
 // assemble creates the entry or agent and the HTTP servers.
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -135,6 +135,7 @@
 	{"platform admin", startEntry, lastPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n"},
 	{"platform agent", func(t *testing.T, sockets int) *process { return startPlatform(t, sockets, "-agent") }, lastPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n"},
 	{"own model", startOwnEntry, entryPort, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"},
+	{"own service", startOwnEntry, entryPort, "POST /ledger/payments HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"},
 	{"own no key", startOwnEntry, entryPort, "POST /none HTTP/1.1\r\nHost: h\r\n"},
 	{"own admin", startOwnEntry, adminPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n"},
 	{"own agent admin", startOwnAgent, adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n"},
