entry: elements of a JSON array are decoded one by one

Cause: messages, content parts and prompts were decoded into slices before they were looked at; three bytes of text became 40 bytes and more while the slice grew.

Change: the elements are decoded one at a time; the prompt grows by their text.

--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -26,7 +26,7 @@
 type completionRequest struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            json.RawMessage `json:"messages"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
 	N                   *int            `json:"n"`
@@ -119,27 +119,55 @@
 	if json.Unmarshal(in.Prompt, &text) == nil && text != "" {
 		return text, nil
 	}
-	var list []string
-	if json.Unmarshal(in.Prompt, &list) == nil && len(list) == 1 && list[0] != "" {
-		return list[0], nil
+	var only string
+	n, err := eachElement(in.Prompt, func(dec *json.Decoder) error { return dec.Decode(&only) })
+	if err == nil && n == 1 && only != "" {
+		return only, nil
 	}
 	return "", badRequest("prompt is not a string or an array of one string")
 }
 
+// eachElement calls decode for each element of a JSON array, and returns their number. The
+// elements are not all held at once: short ones would take many times the memory of their text.
+func eachElement(array json.RawMessage, decode func(*json.Decoder) error) (n int, err error) {
+	dec := json.NewDecoder(bytes.NewReader(array))
+	if begin, err := dec.Token(); err != nil || begin != json.Delim('[') {
+		return 0, stderrors.New("not an array")
+	}
+	for ; dec.More(); n++ {
+		if err := decode(dec); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // chatPrompt returns the messages of a chat request as one prompt.
 func (in *completionRequest) chatPrompt() (string, *apierror.Error) {
-	if len(in.Messages) == 0 {
+	if len(in.Messages) == 0 || string(in.Messages) == "null" {
 		return "", badRequest("messages is missing or empty")
 	}
 	var b strings.Builder
-	for i, m := range in.Messages {
+	n, err := eachElement(in.Messages, func(dec *json.Decoder) error {
+		var m chatMessage
+		if err := dec.Decode(&m); err != nil {
+			return err
+		}
 		text, ok := m.text()
 		if !ok || m.Role == "" {
-			return "", badRequest("message %d has no role or no text content", i)
+			return stderrors.New("no role or no text content")
 		}
 		fmt.Fprintf(&b, "%s: %s\n", m.Role, text)
+		return nil
+	})
+	switch {
+	case err != nil:
+		return "", badRequest("message %d: %v", n, err)
+	case n == 0:
+		return "", badRequest("messages is missing or empty")
+	default:
+		return b.String(), nil
 	}
-	return b.String(), nil
 }
 
 // text returns the content of a message: a string, or an array of text parts.
@@ -148,18 +176,19 @@
 	if json.Unmarshal(m.Content, &text) == nil {
 		return text, true
 	}
-	var parts []contentPart
-	if json.Unmarshal(m.Content, &parts) != nil {
-		return "", false
-	}
 	var b strings.Builder
-	for _, p := range parts {
-		if p.Type != "text" {
-			return "", false
+	_, err := eachElement(m.Content, func(dec *json.Decoder) error {
+		var part contentPart
+		if err := dec.Decode(&part); err != nil {
+			return err
 		}
-		b.WriteString(p.Text)
-	}
-	return b.String(), true
+		if part.Type != "text" {
+			return stderrors.New("not a text part")
+		}
+		b.WriteString(part.Text)
+		return nil
+	})
+	return b.String(), err == nil
 }
 
 // newJob validates a request against the release note in force and returns its
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -80,6 +80,10 @@
 		fmt.Fprint(w, head, shortFields, "Content-Length: 100\r\n\r\n")
 		_, _ = w.Write(body[:99])
 	}},
+	{"body of many short values", false, func(w io.Writer, head string) {
+		values := fmt.Sprintf(`{"model":"reader@1","messages":[%s{}]}`, strings.Repeat("{},", bodyBytes/3-20))
+		fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", head, len(values), values)
+	}},
 	{"body that stops short", true, func(w io.Writer, head string) {
 		fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", head, bodyBytes)
 		_, _ = w.Write(body[:bodyBytes-1])
