transport: a hello has at most 4 KB

What others saw: a process of the own ground that is reached by clients that are no peers took gigabytes of memory.

Cause: the first message of a connection is read before the peer is known, and might be as long as any other, 16 MB.

Change: the hello, which names a process, is bounded.

On networks without TLS a peer is believed; see docs/design/075.

--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -55,14 +55,17 @@
 
 // ReadFrame reads one frame into buf, which it grows as needed, and returns the
 // payload. The payload is valid until the next call with the same buf.
-func ReadFrame(r io.Reader, buf []byte) ([]byte, error) {
+func ReadFrame(r io.Reader, buf []byte) ([]byte, error) { return readFrame(r, buf, MaxFrameBytes) }
+
+// readFrame reads one frame of at most limit bytes.
+func readFrame(r io.Reader, buf []byte, limit uint32) ([]byte, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return buf[:0], err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > MaxFrameBytes {
-		return buf[:0], errors.NotValidf("frame of %d bytes: the limit is %d bytes;", size, MaxFrameBytes)
+	if size > limit {
+		return buf[:0], errors.NotValidf("frame of %d bytes: the limit is %d bytes;", size, limit)
 	}
 	return readPayload(r, buf, int(size))
 }
--- a/internal/transport/hello.go
+++ b/internal/transport/hello.go
@@ -22,6 +22,9 @@
 // exchange of hellos.
 const handshakeTimeout = 3 * time.Second
 
+// maxHelloBytes is the maximum size of a hello. It is read from clients that are not yet known.
+const maxHelloBytes = 4 << 10
+
 // Hello is the first frame in each direction of a connection.
 type Hello struct {
 	Version int              `cbor:"1,keyasint"`
@@ -41,7 +44,7 @@
 
 func receiveHello(conn net.Conn) (Hello, error) {
 	var h Hello
-	data, err := ReadFrame(conn, nil)
+	data, err := readFrame(conn, nil, maxHelloBytes)
 	if err != nil {
 		return h, errors.Annotate(err, "reading hello")
 	}
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -142,6 +142,8 @@
 	{"own service", startOwnEntry, entryPort, "POST /ledger/payments HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"},
 	{"own no key", startOwnEntry, entryPort, "POST /none HTTP/1.1\r\nHost: h\r\n"},
 	{"own admin", startOwnEntry, adminPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n"},
+	{"own peers", startOwnEntry, peersPort, "\x00\xf0\x00\x00"}, // the length of a frame
+	{"own agent peers", startOwnAgent, peersPort, "\x00\xf0\x00\x00"},
 	{"own agent admin", startOwnAgent, adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n"},
 }
 
