--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -119,6 +119,9 @@
 // Limits bound what callers may send. 0 selects the default.
 type Limits struct {
 	HeaderBytes, BodyBytes int
+	// HeaderTimeout is the maximum time to send a header, and IdleTimeout that for which a
+	// connection may be idle.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -38,8 +38,11 @@
 	linger = 500 * time.Millisecond
 )
 
-// refusal is the answer to a header that does not fit into the memory.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// Answers to a header that does not fit into the memory, and to one that is too long.
+const (
+	noMemory       = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 // errRefused ends the reading of a request that was refused, or whose connection was closed in
 // favour of another one. net/http does not answer it, as it is an error of the network.
@@ -58,10 +61,12 @@
 	port *port
 	out  *outbuffer.Conn // Conn, or nil
 
-	// inHeader is set while the bytes that are read belong to a header.
+	// inHeader is set while the bytes that are read belong to a header of HTTP.
 	inHeader atomic.Bool
 	// account holds the memory of the header. It is nil where the protocol is not HTTP.
 	account *membudget.Request
+	// headerRead is the number of bytes that were read of the header.
+	headerRead int
 	// sender is not nil once a part of a header has come without the rest.
 	sender *membudget.Sender
 	// ahead is the memory that a header in the bytes that were read last would need.
@@ -79,7 +84,7 @@
 	c := &Conn{Conn: nc, port: p}
 	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // "" for other networks
 	c.account = p.guard.budget.Open(membudget.Holder{Caller: host})
-	c.inHeader.Store(true)
+	c.inHeader.Store(p.Limits != nil)
 	if out, ok := nc.(*outbuffer.Conn); ok {
 		c.out = out
 		out.OnClose(c.closed)
@@ -144,9 +149,17 @@
 		return n, err
 	}
 	now := time.Now()
+	if c.headerRead == 0 && !c.port.enter(c, fresh) {
+		return 0, errRefused{}
+	}
+	c.headerRead += n
 	c.sender.Moved(now, int64(n))
 	if c.account.Reserve(now, membudget.Headers, need+c.ahead) != nil {
-		c.refuse()
+		c.refuse(noMemory)
+		return 0, errRefused{}
+	}
+	if c.headerRead > c.port.Limits().HeaderBytes+maxAhead {
+		c.refuse(headerTooLarge)
 		return 0, errRefused{}
 	}
 	c.ahead = 0
@@ -156,13 +169,13 @@
 // headerMemory returns the memory that a header of that many bytes and fields needs.
 func headerMemory(text, fields int) int64 { return int64(textFactor*text + fieldBytes*fields) }
 
-// refuse answers a request whose header does not fit into the memory.
-func (c *Conn) refuse() {
+// refuse answers a request whose header is not read on.
+func (c *Conn) refuse(answer string) {
 	if !c.port.enter(c, finishing) {
 		return
 	}
 	c.account.Close()
-	if _, err := c.Conn.Write([]byte(refusal)); err != nil || c.CloseWrite() != nil {
+	if _, err := c.Conn.Write([]byte(answer)); err != nil || c.CloseWrite() != nil {
 		return
 	}
 	if c.SetReadDeadline(time.Now().Add(linger)) == nil {
@@ -173,6 +186,7 @@
 // awaitHeader records that the next request is awaited.
 func (c *Conn) awaitHeader() {
 	c.account.Resize(time.Time{}, membudget.Headers, 0)
+	c.headerRead = 0
 	c.inHeader.Store(true)
 	c.port.enter(c, idle)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -109,17 +110,27 @@
 	}
 }
 
+// RequestLimits bound what a client sends.
+type RequestLimits struct {
+	// HeaderBytes is the maximum size of a request's header.
+	HeaderBytes int
+	// HeaderTimeout is the maximum time to receive a request's header, and IdleTimeout that for
+	// which a connection may be idle between requests.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Fixed returns limits that do not change.
+func Fixed(l RequestLimits) func() RequestLimits { return func() RequestLimits { return l } }
+
 // Options are those of one port.
 type Options struct {
 	// Name names the port in metrics and logs.
 	Name string
 	// Main is set for the port whose part of the connections is the largest.
 	Main bool
-	// HeaderBytes is the maximum size of a request's header.
-	HeaderBytes int
-	// HeaderTimeout is the maximum time to receive a request's header, and IdleTimeout that for
-	// which a connection may be idle between requests.
-	HeaderTimeout, IdleTimeout time.Duration
+	// Limits returns the limits in force. They may change, and hold for open connections too. It
+	// is nil where the protocol is not HTTP.
+	Limits func() RequestLimits
 	// Refuse, if not nil, answers a request whose header does not fit into the memory.
 	Refuse func(http.ResponseWriter, *http.Request, error)
 }
@@ -135,9 +146,7 @@
 func (g *Guard) NewServer(o Options, h http.Handler) *Server {
 	p := g.newPort(o)
 	s := &Server{port: p, Server: &http.Server{
-		Handler: p.wrap(h), MaxHeaderBytes: o.HeaderBytes,
-		ReadHeaderTimeout: o.HeaderTimeout, IdleTimeout: o.IdleTimeout,
-		ConnState: p.observe,
+		Handler: p.wrap(h), ConnState: p.observe, MaxHeaderBytes: math.MaxInt32, // Conn bounds it
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			if c, ok := nc.(*Conn); ok {
 				ctx = outbuffer.Context(context.WithValue(ctx, contextKey{}, c), c.Conn)
--- a/internal/ingress/port.go
+++ b/internal/ingress/port.go
@@ -65,6 +65,8 @@
 	evicted  int64
 	refused  int64
 	loggedAt time.Time
+	// sweeping is set while expire is due.
+	sweeping bool
 }
 
 func (g *Guard) newPort(o Options) *port {
@@ -80,6 +82,39 @@
 	return p
 }
 
+// sweepInterval is the interval at which expired connections are closed.
+const sweepInterval = time.Second
+
+// expire closes the connections whose header has not come in time, and those that have been idle
+// for too long. It runs at each sweepInterval while a connection waits.
+func (p *port) expire() {
+	limits, now := p.Limits(), time.Now()
+	for s, age := range map[stage]time.Duration{fresh: limits.HeaderTimeout, idle: limits.IdleTimeout} {
+		for {
+			p.mu.Lock()
+			c := p.takeLocked(s, age, now)
+			p.mu.Unlock()
+			if c == nil {
+				break
+			}
+			_ = c.Close()
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweeping = false
+	if p.waiting[fresh].Len()+p.waiting[idle].Len() > 0 {
+		p.sweepLocked()
+	}
+}
+
+func (p *port) sweepLocked() {
+	if !p.sweeping && p.Limits != nil {
+		p.sweeping = true
+		time.AfterFunc(sweepInterval, p.expire)
+	}
+}
+
 // otherPorts is the maximum number of ports besides the main one.
 const otherPorts = 2
 
@@ -213,6 +248,7 @@
 	c.stage, c.since = s, now
 	if s < stages {
 		c.element = p.waiting[s].PushBack(c)
+		p.sweepLocked()
 	}
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,10 +148,15 @@
 // senders; the handler bounds slow readers.
 func newCallersServer(guard *ingress.Guard, h http.Handler, headerBytes int) *ingress.Server {
 	return guard.NewServer(ingress.Options{
-		Name: "callers", Main: true, HeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Name: "callers", Main: true, Limits: limits(headerBytes),
 	}, h)
 }
 
+// limits returns what clients may send.
+func limits(headerBytes int) func() ingress.RequestLimits {
+	return ingress.Fixed(ingress.RequestLimits{HeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
+}
+
 // assemble creates the entry or agent and the HTTP servers.
 func (n *Node) assemble(security *transport.Security) error {
 	s := n.settings
@@ -176,9 +181,7 @@
 			return errors.Trace(err)
 		}
 	}
-	n.admin = n.guard.NewServer(ingress.Options{
-		Name: "admin", HeaderBytes: s.Limits.HeaderBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}, admin.Handler(n.lifecycle, snapshot))
+	n.admin = n.guard.NewServer(ingress.Options{Name: "admin", Limits: limits(s.Limits.HeaderBytes)}, admin.Handler(n.lifecycle, snapshot))
 	_, err := n.listenOn("listen.admin", s.Listen.Admin)
 	return err
 }
