--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -1,10 +1,12 @@
 package clients
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -130,21 +132,24 @@
 	start func(t *testing.T, sockets int) *process
 	port  int
 	head  string
+	// largest is the end of a body that is served, however many spaces come before it; "" where
+	// none is.
+	largest string
 }{
-	{"platform route", startEntry, callersPort, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n"},
-	{"platform large answers", startEntry, callersPort, "POST /a/large HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n"},
-	{"platform no route", startEntry, callersPort, "POST /none HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n"},
-	{"platform readiness", startEntry, readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n"},
-	{"platform readiness other path", startEntry, readyPort, "POST /none HTTP/1.1\r\nHost: h\r\n"},
-	{"platform admin", startEntry, lastPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n"},
-	{"platform agent", func(t *testing.T, sockets int) *process { return startPlatform(t, sockets, "-agent") }, lastPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n"},
-	{"own model", startOwnEntry, entryPort, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"},
-	{"own service", startOwnEntry, entryPort, "POST /ledger/payments HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"},
-	{"own no key", startOwnEntry, entryPort, "POST /none HTTP/1.1\r\nHost: h\r\n"},
-	{"own admin", startOwnEntry, adminPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n"},
-	{"own peers", startOwnEntry, peersPort, "\x00\xf0\x00\x00"}, // the length of a frame
-	{"own agent peers", startOwnAgent, peersPort, "\x00\xf0\x00\x00"},
-	{"own agent admin", startOwnAgent, adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n"},
+	{"platform route", startEntry, callersPort, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", "x"},
+	{"platform large answers", startEntry, callersPort, "POST /a/large HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", ""},
+	{"platform no route", startEntry, callersPort, "POST /none HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n", ""},
+	{"platform readiness", startEntry, readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n", ""},
+	{"platform readiness other path", startEntry, readyPort, "POST /none HTTP/1.1\r\nHost: h\r\n", ""},
+	{"platform admin", startEntry, lastPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n", ""},
+	{"platform agent", func(t *testing.T, sockets int) *process { return startPlatform(t, sockets, "-agent") }, lastPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n", ""},
+	{"own model", startOwnEntry, entryPort, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n", ""},
+	{"own service", startOwnEntry, entryPort, "POST /ledger/payments HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n", `{"contract":"C1"}`},
+	{"own no key", startOwnEntry, entryPort, "POST /none HTTP/1.1\r\nHost: h\r\n", ""},
+	{"own admin", startOwnEntry, adminPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n", ""},
+	{"own peers", startOwnEntry, peersPort, "\x00\xf0\x00\x00", ""}, // the length of a frame
+	{"own agent peers", startOwnAgent, peersPort, "\x00\xf0\x00\x00", ""},
+	{"own agent admin", startOwnAgent, adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n", ""},
 }
 
 func startEntry(t *testing.T, sockets int) *process { return startPlatform(t, sockets) }
@@ -223,6 +228,30 @@
 	}
 }
 
+// TestLargestRequestIsServed guards against limits that a single request within those of the
+// configuration meets.
+func TestLargestRequestIsServed(t *testing.T) {
+	for _, port := range ports {
+		if port.largest == "" {
+			continue
+		}
+		t.Run(port.name, func(t *testing.T) {
+			is := is.New(t)
+			p := port.start(t, 200)
+			c, err := net.DialTimeout("tcp", p.addr(port.port), dialTimeout)
+			is.NoErr(err)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "%s%sContent-Length: %d\r\n\r\n%s%s", port.head, shortFields, bodyBytes, bytes.Repeat([]byte(" "), bodyBytes-len(port.largest)), port.largest)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			text, _ := io.ReadAll(resp.Body)
+			t.Logf("%s %s", resp.Status, text)
+			is.Equal(resp.StatusCode/100, 2) // it is served
+		})
+	}
+}
+
 // TestStopWithACrowd guards against clients that keep a process from stopping.
 func TestStopWithACrowd(t *testing.T) {
 	for _, port := range ports {
