upstream, engine: an answer has a status of HTTP

Cause: http.ReadResponse accepts any three digits, and WriteHeader panics below 100. Statuses below 100 counted as interim, those of engines below 300 as success.

Change: a status below 100 is a broken answer: the caller gets 502, or the request is tried again where it may be. Agents take none below 200.

Measured: TestTroubledAnswersAreNoAnswers (statuses), TestAnswersThatBrokeOffAreNoSuccess (two cases) and TestEnginesDoNotAnswerWithoutAStatus fail before and pass now. The early 200 without a length that is reset during an upload (100 bytes to 4 MB) is no answer for plain calls and streams of the platform, before and after.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -186,7 +186,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "calling the engine")
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		return nil, &StatusError{Code: resp.StatusCode, Text: string(bytes.TrimSpace(text))}
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -101,6 +101,9 @@
 	if len(body) > MaxPlainBytes {
 		return PlainAnswer{}, errors.NotValidf("answer of more than %d bytes from the plain service;", MaxPlainBytes)
 	}
+	if resp.StatusCode < http.StatusOK { // final answers have others
+		return PlainAnswer{}, errors.NotValidf("status %03d of the plain service's answer;", resp.StatusCode)
+	}
 	out := PlainAnswer{Code: resp.StatusCode, Body: body}
 	for name, values := range resp.Header {
 		for _, v := range values {
--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -52,6 +52,8 @@
 		"no length, whole":          {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"a\":1}", false, true},
 		"whole, service ended":      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true, true},
 		"no length, whole, no type": {"HTTP/1.0 200 OK\r\n\r\nwhole", false, true},
+		"status that is none":       {"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole", false, false},
+		"status of no final answer": {"HTTP/1.1 101 OK\r\nContent-Length: 5\r\n\r\nwhole", false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -60,3 +62,14 @@
 		})
 	}
 }
+
+// TestEnginesDoNotAnswerWithoutAStatus guards against an engine's answer whose status is none of
+// HTTP, and passes for a success.
+func TestEnginesDoNotAnswerWithoutAStatus(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 000 Trouble\r\nContent-Length: 20\r\n\r\n{\"finish\":\"length\"}\n"
+	_, err := NewClient(answering(t, answer, false)).Prefill(context.Background(), PrefillRequest{})
+	is.True(err != nil)
+	err = NewClient(answering(t, answer, false)).Decode(context.Background(), DecodeRequest{}, func(DecodeEvent) error { return nil })
+	is.True(err != nil)
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -401,7 +401,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < http.StatusContinue {
+			return nil, errors.Errorf("the status %03d is none of HTTP", resp.StatusCode)
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -275,3 +275,28 @@
 		is.Equal(string(b), want)
 	}
 }
+
+// TestTroubledAnswersAreNoAnswers guards against an answer whose status is none of HTTP, and
+// against an early one without a length that is reset during the upload and passes for complete.
+func TestTroubledAnswersAreNoAnswers(t *testing.T) {
+	for answer, uploads := range map[string][]int{
+		"HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody": {0},
+		"HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody": {0},
+		"HTTP/1.1 200 OK\r\n\r\npart":                           {100, 100_000, 4 << 20},
+	} {
+		for _, size := range uploads {
+			is := is.New(t)
+			addr := scriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = r.Peek(1)
+				_, _ = io.WriteString(c, answer)
+				_ = c.(*net.TCPConn).SetLinger(0) // the connection is reset
+			})
+			resp, err := testClient().Send(context.Background(), addr, &Request{Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, size)})
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			is.True(err != nil)
+		}
+	}
+}
