engine: an answer that is reset during an upload is not complete

Cause: the write fails with the error of the reset and takes it; the reader gets the end of the connection instead, which ends an answer without a length.

Change: an answer without a length counts only if the call was written whole. A reset after that reaches the reader.

--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -54,7 +56,11 @@
 	if call.Query != "" {
 		target += "?" + call.Query
 	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
+	var sent atomic.Bool // the request has been written whole
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(w httptrace.WroteRequestInfo) { sent.Store(w.Err == nil) },
+	})
+	req, err := http.NewRequestWithContext(traced, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
 		return PlainAnswer{}, errors.Trace(err)
 	}
@@ -68,7 +74,9 @@
 	defer resp.Body.Close()
 	out, err := readPlain(resp)
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && call.Method != http.MethodHead
-	if err == nil && unframed && (bodyread.CutOff(resp.Header, out.Body) || !p.reachable(ctx, req.URL)) {
+	// A write that fails on a reset connection takes the error, and the reader gets the end of
+	// the connection in its place.
+	if err == nil && unframed && (!sent.Load() || bodyread.CutOff(resp.Header, out.Body) || !p.reachable(ctx, req.URL)) {
 		return PlainAnswer{}, ErrTruncatedAnswer
 	}
 	return out, err
--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -38,6 +40,24 @@
 	return "http://" + ln.Addr().String()
 }
 
+// answeringEarly starts a service that gives an answer while the request is still written, and
+// resets the connection.
+func answeringEarly(t *testing.T, answer string) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+		time.Sleep(5 * time.Millisecond) // the client reads the beginning
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
 // TestAnswersThatBrokeOffAreNoSuccess guards against plain answers that broke off halfway and
 // pass for complete, in each framing.
 func TestAnswersThatBrokeOffAreNoSuccess(t *testing.T) {
@@ -63,6 +83,16 @@
 	}
 }
 
+// TestAnswersThatAreResetDuringAnUpload guards against an early answer without a length that is
+// reset while the request is still written, and passes for complete.
+func TestAnswersThatAreResetDuringAnUpload(t *testing.T) {
+	for range 50 {
+		url := answeringEarly(t, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
+		_, err := NewPlainClient(url).Call(context.Background(), protocol.HTTPCall{Method: http.MethodPost, Path: "/", Body: make([]byte, 4<<20)})
+		is.New(t).True(err != nil)
+	}
+}
+
 // TestEnginesDoNotAnswerWithoutAStatus guards against an engine's answer whose status is none of
 // HTTP, and passes for a success.
 func TestEnginesDoNotAnswerWithoutAStatus(t *testing.T) {
