ingress: a request releases its memory when it ends

Measured: TestMemoryOfRequests fails before (bodies of a kept connection are held) and passes now, with the race detector too.

--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -256,6 +256,7 @@
 		e.writeError(w, r, refusal)
 		return
 	}
+	_ = ingress.Memory(r).Resize(time.Now(), membudget.Bodies, int64(bodyCopies*len(prompt))) // no more than is held
 	j, refusal := e.newJob(requestID(r.Context()), p, in, prompt)
 	if refusal != nil {
 		e.writeError(w, r, refusal)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -43,7 +43,7 @@
 // HasBody reports whether a request has a body that may be unread.
 func HasBody(r *http.Request) bool { return r.ContentLength != 0 && r.Body != http.NoBody }
 
-// Memory returns the account of a request: it holds the memory of its header, and is closed
+// Memory returns the account of a request: it holds the memory of its header, and releases all
 // after the request. It is nil where the server is not one of this package.
 func Memory(r *http.Request) *membudget.Request {
 	if c := from(r.Context()); c != nil {
@@ -76,6 +76,9 @@
 		err = in.setDeadline(time.Time{})
 	}
 	if err == nil {
+		if in.conn != nil {
+			in.conn.bodyRead = true
+		}
 		return body, nil
 	}
 	w.Header().Set("Connection", "close")
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -29,14 +29,9 @@
 	maxAhead = 4 << 10
 )
 
-// Times of an answer that refuses a request.
-const (
-	// refusalRetry is the advised delay when a header does not fit into the memory.
-	refusalRetry = time.Second
-	// linger is the time for which the rest of a refused request is read, so that it does not
-	// reset the connection before the client has read the answer.
-	linger = 500 * time.Millisecond
-)
+// linger is the time for which the rest of a refused request is read, so that it does not reset
+// the connection before the client has read the answer.
+const linger = 500 * time.Millisecond
 
 // Answers to a header that does not fit into the memory, and to one that is too long.
 const (
@@ -63,7 +58,7 @@
 
 	// inHeader is set while the bytes that are read belong to a header of HTTP.
 	inHeader atomic.Bool
-	// account holds the memory of the header. It is nil where the protocol is not HTTP.
+	// account holds the memory of the request, from the first bytes of its header on.
 	account *membudget.Request
 	// headerRead is the number of bytes that were read of the header.
 	headerRead int
@@ -71,6 +66,8 @@
 	sender *membudget.Sender
 	// ahead is the memory that a header in the bytes that were read last would need.
 	ahead int64
+	// bodyRead is set when the body of the request has been read whole.
+	bodyRead bool
 
 	leave sync.Once
 
@@ -78,6 +75,8 @@
 	stage   stage
 	since   time.Time // since when it is in the stage
 	element *list.Element
+	// known is set if it is one of a known peer, and does not count.
+	known bool
 }
 
 func newConn(nc net.Conn, p *port) *Conn {
@@ -128,9 +127,7 @@
 // Established records that a connection whose protocol is not HTTP is one of a known peer. It
 // reports false if the connection was closed in favour of another one.
 func (c *Conn) Established() bool {
-	c.inHeader.Store(false)
-	c.account.Close()
-	return c.port.enter(c, running)
+	return c.port.establish(c)
 }
 
 // Read implements net.Conn. It takes memory for a header before net/http can parse it.
@@ -185,7 +182,6 @@
 
 // awaitHeader records that the next request is awaited.
 func (c *Conn) awaitHeader() {
-	c.account.Resize(time.Time{}, membudget.Headers, 0)
 	c.headerRead = 0
 	c.inHeader.Store(true)
 	c.port.enter(c, idle)
@@ -217,15 +213,15 @@
 		if !p.enter(c, running) {
 			panic(http.ErrAbortHandler) // its connection was closed when its header was whole
 		}
-		control := http.NewResponseController(w)
-		hasBody := HasBody(r)
-		if hasBody {
-			_ = control.SetReadDeadline(time.Now().Add(BodyStall)) // fails only if it is closed
+		c.bodyRead = !HasBody(r)
+		if !c.bodyRead {
+			_ = c.SetReadDeadline(time.Now().Add(BodyStall)) // fails only if it is closed
 		}
 		defer func() {
-			if hasBody {
-				_ = control.SetReadDeadline(time.Now().Add(linger))
+			if !c.bodyRead {
+				_ = c.SetReadDeadline(time.Now().Add(linger))
 			}
+			c.account.Close()
 			p.enter(c, finishing)
 		}()
 		if err := c.account.Resize(time.Now(), membudget.Headers, memoryOf(r)); err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -206,8 +206,8 @@
 	return s.Serve(ln)
 }
 
-// Listener bounds the connections of a listener whose protocol is not HTTP. A connection may be
-// closed in favour of others until its Established is called.
+// Listener bounds the connections of a listener whose protocol is not HTTP. A connection counts,
+// and may be closed in favour of others, until its Established is called.
 func (g *Guard) Listener(o Options, ln net.Listener) net.Listener {
 	return &listener{ln, g.newPort(o)}
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -96,9 +96,9 @@
 	})
 }
 
-// TestMemoryOfHeaders guards against headers whose memory is not counted or not released, and
+// TestMemoryOfRequests guards against requests whose memory is not counted or not released, and
 // against a refusal that a client does not get.
-func TestMemoryOfHeaders(t *testing.T) {
+func TestMemoryOfRequests(t *testing.T) {
 	is := is.New(t)
 	g, dial := serve(t, Limits{Memory: 1 << 20, Descriptors: 100})
 	for fields, status := range map[int]int{100: http.StatusOK, 1000: http.StatusServiceUnavailable} {
@@ -113,9 +113,24 @@
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, status)
 	}
-	for until := time.Now().Add(10 * time.Second); g.budget.Stats().Headers > 0 && time.Now().Before(until); {
+	half := dial()
+	_, err := io.WriteString(half, "GET / HTTP/1.1\r\nHost: h\r\n")
+	is.NoErr(err)
+	_, err = io.WriteString(half, "A:")
+	is.NoErr(err)
+	is.NoErr(half.Close())
+	kept := dial()
+	answers := bufio.NewReader(kept)
+	for range 3 {
+		_, err := io.WriteString(kept, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+		is.NoErr(err)
+		_, err = http.ReadResponse(answers, nil)
+		is.NoErr(err)
+	}
+	held := func() int64 { s := g.budget.Stats(); return s.Headers + s.Bodies + int64(s.Senders) }
+	for until := time.Now().Add(10 * time.Second); held() > 0 && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
-	is.Equal(g.budget.Stats().Headers, int64(0))
+	is.Equal(held(), int64(0)) // on connections that are open, too
 	is.True(g.budget.Stats().Refused[membudget.ScopeProcess]+g.budget.Stats().Refused[membudget.ScopeCaller] > 0)
 }
--- a/internal/ingress/port.go
+++ b/internal/ingress/port.go
@@ -253,11 +253,26 @@
 	return true
 }
 
+// establish takes a connection out of the count. It reports false if the connection has been
+// closed in favour of another one.
+func (p *port) establish(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.enterLocked(c, running, time.Time{}) {
+		return false
+	}
+	c.known = true
+	p.open--
+	return true
+}
+
 // leave removes a connection that is closed.
 func (p *port) leave(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	if !c.known {
+		p.open--
+	}
 	p.enterLocked(c, closed, time.Time{})
 }
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -227,6 +227,8 @@
 
 	mu   sync.Mutex // guards the fields below
 	held [uses]int64
+	// sender is nil if the request has been received whole.
+	sender *Sender
 	// evicted is set when its sender was disconnected. It holds nothing after that.
 	evicted bool
 }
@@ -305,4 +307,6 @@
 		}
 	}
 	r.held = [uses]int64{}
+	r.sender.Remove()
+	r.sender = nil
 }
--- a/internal/membudget/senders.go
+++ b/internal/membudget/senders.go
@@ -16,13 +16,17 @@
 	moved          int64
 }
 
-// AddSender records that the rest of the request is awaited. disconnect must end that. A nil
-// Request has no senders.
+// AddSender records that the rest of the request is awaited, until Remove or the end of the
+// request. disconnect must end that. A nil Request has no senders.
 func (r *Request) AddSender(now time.Time, disconnect func()) *Sender {
 	if r == nil {
 		return nil
 	}
 	s := &Sender{request: r, disconnect: disconnect, began: now, movedAt: now}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sender.Remove()
+	r.sender = s
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.budget.senders[s] = struct{}{}
