ingress: a port outlives a lack of descriptors

Cause: the server for peers ended when accept failed once, for instance with EMFILE; the process lived on and no peer reached it.

Change: a listener waits and tries again after errors that pass, and closes a connection that waits for its client, so that the next one has a descriptor.

Measured: TestListenerOutlivesALackOfDescriptors fails before, passes now.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,3 +136,28 @@
 	is.Equal(held(), int64(0)) // on connections that are open, too
 	is.True(g.budget.Stats().Refused[membudget.ScopeProcess]+g.budget.Stats().Refused[membudget.ScopeCaller] > 0)
 }
+
+// fullListener has no descriptor for its first connections.
+type fullListener struct {
+	net.Listener
+	failures int
+}
+
+// Accept implements net.Listener.
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.failures--; l.failures >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	_, server := net.Pipe()
+	return server, nil
+}
+
+// TestListenerOutlivesALackOfDescriptors guards against a port that is closed for good when the
+// process once has no descriptor.
+func TestListenerOutlivesALackOfDescriptors(t *testing.T) {
+	g := New(Limits{Memory: 64 << 20, Descriptors: 100}, t.Name(), log.NewNopLogger())
+	c, err := g.Listener(Options{Name: "test"}, &fullListener{failures: 3}).Accept()
+	is := is.New(t)
+	is.NoErr(err)
+	is.NoErr(c.Close())
+}
--- a/internal/ingress/port.go
+++ b/internal/ingress/port.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
 )
 
 // stage is how far a connection has come with a request.
@@ -134,6 +136,11 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if isTransient(err) {
+			l.port.relieve()
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -143,6 +150,30 @@
 	}
 }
 
+// acceptPause is the time until a connection is accepted again after a failure that will pass.
+const acceptPause = 10 * time.Millisecond
+
+// isTransient reports whether a later connection can be accepted after an error: the process or
+// the host has no descriptor left, or the client has gone.
+func isTransient(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
+// relieve closes a connection so that another one can be accepted.
+func (p *port) relieve() {
+	now := time.Now()
+	p.mu.Lock()
+	victim := p.victimLocked(now)
+	if victim != nil {
+		p.evicted++
+	}
+	p.mu.Unlock()
+	if victim != nil {
+		victim.evict()
+	}
+	p.logFull(now)
+}
+
 // admit takes a connection in. If the port is full it closes another one first; if all of those
 // are served, it closes the new one and returns nil.
 func (p *port) admit(nc net.Conn) *Conn {
