ingress: a connection that was closed takes no memory

Cause: a connection that is closed in favour of another one releases its memory. A read that was in progress took some once more, for a header that nobody reads, and nothing released that: after some thousand evictions the budget was used up, and every request was refused.

Change: the account of a connection ends with it.

Measured: TestEvictedConnectionsHoldNothing fails before and passes now.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -93,7 +93,7 @@
 
 func (c *Conn) closed() {
 	c.leave.Do(func() {
-		c.account.Close()
+		c.account.End() // a read that was in progress takes nothing any more
 		c.port.leave(c)
 	})
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -137,6 +137,35 @@
 	is.True(g.budget.Stats().Refused[membudget.ScopeProcess]+g.budget.Stats().Refused[membudget.ScopeCaller] > 0)
 }
 
+// closingConn is closed in favour of others while it is read.
+type closingConn struct {
+	net.Conn
+	onRead func()
+}
+
+// Read implements net.Conn.
+func (c *closingConn) Read(p []byte) (int, error) {
+	c.onRead()
+	return copy(p, "GET / HTTP/1.1\r\n"), nil
+}
+
+// TestEvictedConnectionsHoldNothing guards against memory that a connection takes when it has been
+// closed, and that is never released.
+func TestEvictedConnectionsHoldNothing(t *testing.T) {
+	g := New(Limits{Memory: 64 << 20, Descriptors: 100}, t.Name(), log.NewNopLogger())
+	p := g.newPort(Options{Name: "test", Limits: Fixed(testLimits)})
+	_, server := net.Pipe()
+	below := &closingConn{Conn: server}
+	c := p.admit(below)
+	below.onRead = func() {}
+	_, err := c.Read(make([]byte, 100))
+	is.New(t).NoErr(err)
+	below.onRead = c.evict
+	_, err = c.Read(make([]byte, 100))
+	is.New(t).True(err != nil)
+	is.New(t).Equal(g.budget.Stats().Headers, int64(0))
+}
+
 // fullListener has no descriptor for its first connections.
 type fullListener struct {
 	net.Listener
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -229,8 +229,8 @@
 	held [uses]int64
 	// sender is nil if the request has been received whole.
 	sender *Sender
-	// evicted is set when its sender was disconnected. It holds nothing after that.
-	evicted bool
+	// ended is set by End.
+	ended bool
 }
 
 // Open returns the account of a request that holds nothing yet.
@@ -246,7 +246,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.evicted {
+	if r.ended {
 		r.budget.Release(r.holder, use, n)
 		return &Refusal{Scope: ScopeProcess, Holder: r.holder, Bytes: n, Limit: r.budget.limit}
 	}
@@ -292,12 +292,12 @@
 	r.releaseLocked()
 }
 
-// evict closes the request for good.
-func (r *Request) evict() {
+// End is Close, after which the request can not reserve any more.
+func (r *Request) End() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.releaseLocked()
-	r.evicted = true
+	r.ended = true
 }
 
 func (r *Request) releaseLocked() {
--- a/internal/membudget/senders.go
+++ b/internal/membudget/senders.go
@@ -86,7 +86,7 @@
 	if slowest == nil {
 		return false
 	}
-	slowest.request.evict()
+	slowest.request.End()
 	slowest.disconnect()
 	return true
 }
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -135,21 +136,23 @@
 	// largest is the end of a body that is served, however many spaces come before it; "" where
 	// none is.
 	largest string
+	// admin is the port of the metrics, for those ports at which all crowds come in turn; else 0.
+	admin int
 }{
-	{"platform route", startEntry, callersPort, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", "x"},
-	{"platform large answers", startEntry, callersPort, "POST /a/large HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", ""},
-	{"platform no route", startEntry, callersPort, "POST /none HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n", ""},
-	{"platform readiness", startEntry, readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n", ""},
-	{"platform readiness other path", startEntry, readyPort, "POST /none HTTP/1.1\r\nHost: h\r\n", ""},
-	{"platform admin", startEntry, lastPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n", ""},
-	{"platform agent", func(t *testing.T, sockets int) *process { return startPlatform(t, sockets, "-agent") }, lastPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n", ""},
-	{"own model", startOwnEntry, entryPort, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n", ""},
-	{"own service", startOwnEntry, entryPort, "POST /ledger/payments HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n", `{"contract":"C1"}`},
-	{"own no key", startOwnEntry, entryPort, "POST /none HTTP/1.1\r\nHost: h\r\n", ""},
-	{"own admin", startOwnEntry, adminPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n", ""},
-	{"own peers", startOwnEntry, peersPort, "\x00\xf0\x00\x00", ""}, // the length of a frame
-	{"own agent peers", startOwnAgent, peersPort, "\x00\xf0\x00\x00", ""},
-	{"own agent admin", startOwnAgent, adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n", ""},
+	{"platform route", startEntry, callersPort, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", "x", lastPort},
+	{"platform large answers", startEntry, callersPort, "POST /a/large HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", "", 0},
+	{"platform no route", startEntry, callersPort, "POST /none HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n", "", 0},
+	{"platform readiness", startEntry, readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n", "", lastPort},
+	{"platform readiness other path", startEntry, readyPort, "POST /none HTTP/1.1\r\nHost: h\r\n", "", 0},
+	{"platform admin", startEntry, lastPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n", "", 0},
+	{"platform agent", func(t *testing.T, sockets int) *process { return startPlatform(t, sockets, "-agent") }, lastPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n", "", 0},
+	{"own model", startOwnEntry, entryPort, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n", "", 0},
+	{"own service", startOwnEntry, entryPort, "POST /ledger/payments HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n", `{"contract":"C1"}`, adminPort},
+	{"own no key", startOwnEntry, entryPort, "POST /none HTTP/1.1\r\nHost: h\r\n", "", 0},
+	{"own admin", startOwnEntry, adminPort, "GET /debug/state HTTP/1.1\r\nHost: h\r\n", "", 0},
+	{"own peers", startOwnEntry, peersPort, "\x00\xf0\x00\x00", "", 0}, // the length of a frame
+	{"own agent peers", startOwnAgent, peersPort, "\x00\xf0\x00\x00", "", 0},
+	{"own agent admin", startOwnAgent, adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n", "", 0},
 }
 
 func startEntry(t *testing.T, sockets int) *process { return startPlatform(t, sockets) }
@@ -163,21 +166,31 @@
 }
 
 // come starts a crowd, and returns when it has sent all that it sends. It stays connected until
-// the test ends.
-func come(t *testing.T, size int, addr, head string, send func(io.Writer, string)) {
+// leave is called or the test ends.
+func come(t *testing.T, size int, addr, head string, send func(io.Writer, string)) (leave func()) {
+	conns := make([]net.Conn, size) // nil if refused
 	var clients sync.WaitGroup
-	for range size {
+	for i := range size {
 		clients.Go(func() {
 			c, err := net.DialTimeout("tcp", addr, dialTimeout)
 			if err != nil {
-				return // refused
+				return
 			}
-			t.Cleanup(func() { _ = c.Close() })
+			conns[i] = c
 			_ = c.SetWriteDeadline(time.Now().Add(sendTimeout))
 			send(c, head)
 		})
 	}
 	clients.Wait()
+	leave = func() {
+		for _, c := range conns {
+			if c != nil {
+				_ = c.Close()
+			}
+		}
+	}
+	t.Cleanup(leave)
+	return leave
 }
 
 // watch returns the most that a process holds until done is closed.
@@ -273,3 +286,48 @@
 		}
 	}
 }
+
+// TestCrowdsLeaveNothing guards against memory that is held for clients that have gone.
+func TestCrowdsLeaveNothing(t *testing.T) {
+	for _, port := range ports {
+		if port.admin == 0 {
+			continue
+		}
+		t.Run(port.name, func(t *testing.T) {
+			is := is.New(t)
+			p := port.start(t, 200)
+			for _, crowd := range crowds {
+				come(t, 320, p.addr(port.port), port.head, crowd.send)()
+			}
+			var held map[string]int64
+			for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(startPause) {
+				if held = p.held(t, port.admin); len(held) == 0 {
+					break
+				}
+			}
+			is.Equal(held, map[string]int64{})
+		})
+	}
+}
+
+// held returns the metrics of what a process holds for clients, except for the one that asks.
+func (p *process) held(t *testing.T, admin int) map[string]int64 {
+	resp, err := http.Get("http://" + p.addr(admin) + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	const asking = 2 << 10 // bytes of the header of this request
+	out := map[string]int64{}
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		for name, own := range map[string]int64{"memory_headers_bytes": asking, "memory_bodies_bytes": 0, "memory_answers_bytes": 0, "slow_senders": 0, "slow_readers": 0} {
+			f := strings.Fields(lines.Text())
+			if len(f) == 2 && strings.Contains(f[0], "_"+name+"{") {
+				if n, _ := strconv.ParseInt(f[1], 10, 64); n > own {
+					out[name] = n
+				}
+			}
+		}
+	}
+	return out
+}
