engine: the end of a connection is an error if a write failed

What callers saw: on the own ground a part of an answer as a complete one, also for short calls, when a service answered before it read and reset the connection at once.

--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -32,7 +32,7 @@
 // which could run the call twice.
 func NewPlainClient(base string) *PlainClient {
 	return &PlainClient{base: base, http: &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dial},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -56,7 +56,7 @@
 	if call.Query != "" {
 		target += "?" + call.Query
 	}
-	var sent atomic.Bool // the request has been written whole
+	var sent atomic.Bool // the request has been written, up to what is buffered
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(w httptrace.WroteRequestInfo) { sent.Store(w.Err == nil) },
 	})
@@ -74,8 +74,6 @@
 	defer resp.Body.Close()
 	out, err := readPlain(resp)
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && call.Method != http.MethodHead
-	// A write that fails on a reset connection takes the error, and the reader gets the end of
-	// the connection in its place.
 	if err == nil && unframed && (!sent.Load() || bodyread.CutOff(resp.Header, out.Body) || !p.reachable(ctx, req.URL)) {
 		return PlainAnswer{}, ErrTruncatedAnswer
 	}
--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -40,22 +39,30 @@
 	return "http://" + ln.Addr().String()
 }
 
-// answeringEarly starts a service that gives an answer while the request is still written, and
-// resets the connection.
-func answeringEarly(t *testing.T, answer string) string {
+// answeringEarly starts a service that answers before it reads, and resets the connection after a
+// pause.
+func answeringEarly(t *testing.T, answer string, pause time.Duration) string {
 	t.Helper()
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.WriteString(c, answer)
+				time.Sleep(pause)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
 		}
-		_, _ = io.WriteString(c, answer)
-		time.Sleep(5 * time.Millisecond) // the client reads the beginning
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}))
-	t.Cleanup(srv.Close)
-	return srv.URL
+	}()
+	return "http://" + ln.Addr().String()
 }
 
 // TestAnswersThatBrokeOffAreNoSuccess guards against plain answers that broke off halfway and
@@ -86,10 +93,14 @@
 // TestAnswersThatAreResetDuringAnUpload guards against an early answer without a length that is
 // reset while the request is still written, and passes for complete.
 func TestAnswersThatAreResetDuringAnUpload(t *testing.T) {
-	for range 50 {
-		url := answeringEarly(t, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
-		_, err := NewPlainClient(url).Call(context.Background(), protocol.HTTPCall{Method: http.MethodPost, Path: "/", Body: make([]byte, 4<<20)})
-		is.New(t).True(err != nil)
+	for _, size := range []int{0, 100, 100_000, 4 << 20} {
+		for _, pause := range []time.Duration{0, 5 * time.Millisecond} { // the client reads the beginning, or not
+			client := NewPlainClient(answeringEarly(t, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", pause))
+			for range 100 {
+				_, err := client.Call(context.Background(), protocol.HTTPCall{Method: http.MethodPost, Path: "/", Body: make([]byte, size)})
+				is.New(t).True(err != nil)
+			}
+		}
 	}
 }
 
