--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -116,7 +116,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	if b.conn != nil && !b.conn.port.enter(b.conn, receiving) {
-		return 0, errRefused{}
+		return 0, refusedError{}
 	}
 	n, err := b.body.Read(p)
 	b.sender.Moved(time.Now(), int64(n))
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -39,16 +39,16 @@
 	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
-// errRefused ends the reading of a request that was refused, or whose connection was closed in
-// favour of another one. net/http does not answer it, as it is an error of the network.
-type errRefused struct{}
+// refusedError ends the reading of a request that was refused, or whose connection was closed in
+// favour of another one. As an error of the network it makes net/http close without an answer.
+type refusedError struct{}
 
 // Error implements the error interface.
-func (errRefused) Error() string { return "the connection was refused in favour of others" }
+func (refusedError) Error() string { return "the connection was refused in favour of others" }
 
 // Timeout and Temporary implement net.Error.
-func (errRefused) Timeout() bool   { return true }
-func (errRefused) Temporary() bool { return false }
+func (refusedError) Timeout() bool   { return true }
+func (refusedError) Temporary() bool { return false }
 
 // Conn is a connection of a client.
 type Conn struct {
@@ -147,17 +147,17 @@
 	}
 	now := time.Now()
 	if c.headerRead == 0 && !c.port.enter(c, fresh) {
-		return 0, errRefused{}
+		return 0, refusedError{}
 	}
 	c.headerRead += n
 	c.sender.Moved(now, int64(n))
 	if c.account.Reserve(now, membudget.Headers, need+c.ahead) != nil {
 		c.refuse(noMemory)
-		return 0, errRefused{}
+		return 0, refusedError{}
 	}
 	if c.headerRead > c.port.Limits().HeaderBytes+maxAhead {
 		c.refuse(headerTooLarge)
-		return 0, errRefused{}
+		return 0, refusedError{}
 	}
 	c.ahead = 0
 	return n, err
@@ -202,7 +202,8 @@
 	return c
 }
 
-// wrap returns a handler that serves requests whose header fits into the memory.
+// wrap returns a handler that serves the requests whose header fits into the memory, and that
+// records how far their connections have come.
 func (p *port) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := from(r.Context())
--- a/internal/ingress/port.go
+++ b/internal/ingress/port.go
@@ -17,14 +17,15 @@
 
 // Stages of a connection.
 const (
-	// fresh: it has not sent a whole header yet.
+	// fresh: it is new, or the rest of a header is awaited.
 	fresh stage = iota
-	// idle: it has been answered and has not sent the next header.
+	// idle: it has been answered, and the next header has not begun.
 	idle
 	// receiving: the body of its request is awaited.
 	receiving
-	// finishing: its request is answered, and the connection is about to close.
+	// finishing: its request has been answered, and the rest of it is read before it closes.
 	finishing
+	// stages is the number of those above, in which a connection waits for its client.
 	stages
 	// running: its request is served. Such a connection is not closed in favour of others.
 	running
