ingress: usual headers come in while bodies use the budget up

What callers saw: requests without a body, and the readiness and health checks, were answered 503 while bodies of accepted requests held three quarters of the budget. Seen with a crowd of streams that send bodies of 1 MB and do not read.

Cause: the memory of every header came from the budget that bodies share.

Change: 8 KB of a header count with the connection, whose memory is set apart.

Measured: TestUsualRequestsDoNotNeedTheBudget fails before and passes now.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -24,6 +24,9 @@
 	fieldBytes = 256
 	// textFactor is the number of copies of the text of a header.
 	textFactor = 2
+	// usualHeader is the memory of a header in bytes that counts with its connection. Requests
+	// with usual headers come in, and readiness is answered, while bodies use the budget up.
+	usualHeader = 8 << 10
 	// maxAhead is the size in bytes of the buffer in which net/http may already hold the
 	// beginning of the next request.
 	maxAhead = 4 << 10
@@ -60,8 +63,10 @@
 	inHeader atomic.Bool
 	// account holds the memory of the request, from the first bytes of its header on.
 	account *membudget.Request
-	// headerRead is the number of bytes that were read of the header.
+	// headerRead is the number of bytes that were read of the header, and headerNeed the memory
+	// that they need.
 	headerRead int
+	headerNeed int64
 	// sender is not nil once a part of a header has come without the rest.
 	sender *membudget.Sender
 	// ahead is the memory that a header in the bytes that were read last would need.
@@ -151,7 +156,8 @@
 	}
 	c.headerRead += n
 	c.sender.Moved(now, int64(n))
-	if c.account.Reserve(now, membudget.Headers, need+c.ahead) != nil {
+	c.headerNeed += need + c.ahead
+	if c.reserveHeader(now, c.headerNeed) != nil {
 		c.refuse(noMemory)
 		return 0, refusedError{}
 	}
@@ -163,6 +169,11 @@
 	return n, err
 }
 
+// reserveHeader takes the memory for a header, beyond what counts with the connection.
+func (c *Conn) reserveHeader(now time.Time, need int64) error {
+	return c.account.Resize(now, membudget.Headers, max(need-usualHeader, 0))
+}
+
 // headerMemory returns the memory that a header of that many bytes and fields needs.
 func headerMemory(text, fields int) int64 { return int64(textFactor*text + fieldBytes*fields) }
 
@@ -182,7 +193,7 @@
 
 // awaitHeader records that the next request is awaited.
 func (c *Conn) awaitHeader() {
-	c.headerRead = 0
+	c.headerRead, c.headerNeed = 0, 0
 	c.inHeader.Store(true)
 	c.port.enter(c, idle)
 }
@@ -225,7 +236,7 @@
 			c.account.Close()
 			p.enter(c, finishing)
 		}()
-		if err := c.account.Resize(time.Now(), membudget.Headers, memoryOf(r)); err != nil {
+		if err := c.reserveHeader(time.Now(), memoryOf(r)); err != nil {
 			w.Header().Set("Connection", "close")
 			p.refuseRequest(w, r, err)
 			return
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -146,7 +146,7 @@
 // Read implements net.Conn.
 func (c *closingConn) Read(p []byte) (int, error) {
 	c.onRead()
-	return copy(p, "GET / HTTP/1.1\r\n"), nil
+	return copy(p, strings.Repeat("A:\r\n", len(p)/4)), nil
 }
 
 // TestEvictedConnectionsHoldNothing guards against memory that a connection takes when it has been
@@ -158,10 +158,10 @@
 	below := &closingConn{Conn: server}
 	c := p.admit(below)
 	below.onRead = func() {}
-	_, err := c.Read(make([]byte, 100))
+	_, err := c.Read(make([]byte, 400))
 	is.New(t).NoErr(err)
 	below.onRead = c.evict
-	_, err = c.Read(make([]byte, 100))
+	_, err = c.Read(make([]byte, 400))
 	is.New(t).True(err != nil)
 	is.New(t).Equal(g.budget.Stats().Headers, int64(0))
 }
@@ -190,3 +190,17 @@
 	is.NoErr(err)
 	is.NoErr(c.Close())
 }
+
+// TestUsualRequestsDoNotNeedTheBudget guards against a readiness check, or a request without a
+// body, that is refused while bodies use the memory up.
+func TestUsualRequestsDoNotNeedTheBudget(t *testing.T) {
+	is := is.New(t)
+	g, dial := serve(t, Limits{Memory: 1 << 20, Descriptors: 100})
+	g.budget.Force(membudget.Holder{}, membudget.Bodies, g.budget.Stats().Limit)
+	c := dial()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("Field: value\r\n", 15)+"\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
