--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -141,6 +141,7 @@
 }{
 	{"platform route", startEntry, callersPort, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", "x", lastPort},
 	{"platform large answers", startEntry, callersPort, "POST /a/large HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nDeadline-Ms: 60000\r\n", "", 0},
+	{"platform stream", startStreams, callersPort, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\nToken-Usage: 10,100\r\nDeadline-Ms: 60000\r\n", "", 0},
 	{"platform no route", startEntry, callersPort, "POST /none HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n", "", 0},
 	{"platform readiness", startEntry, readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n", "", lastPort},
 	{"platform readiness other path", startEntry, readyPort, "POST /none HTTP/1.1\r\nHost: h\r\n", "", 0},
@@ -157,6 +158,13 @@
 
 func startEntry(t *testing.T, sockets int) *process { return startPlatform(t, sockets) }
 
+// startStreams starts an entry that must answer an ordinary stream, too.
+func startStreams(t *testing.T, sockets int) *process {
+	p := startPlatform(t, sockets)
+	p.ordinary = append(p.ordinary, request(http.MethodPost, "http://"+p.addr(callersPort)+"/stream/x", "Host", host, "Request-Id", "stream", "Deadline-Ms", "5000", "Token-Usage", "10,100"))
+	return p
+}
+
 func startOwnEntry(t *testing.T, sockets int) *process {
 	return startOwn(t, sockets, settings.RoleEntry)
 }
