--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -4,7 +4,6 @@
 package main
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -44,6 +43,8 @@
 	lock    net.Listener
 	mu      sync.Mutex
 	running map[*process]bool
+	// switchSeconds is the time of a change of stage; 0 if servers can't change it.
+	switchSeconds float64
 }
 
 // record is the file record.txt of a case.
@@ -111,7 +112,6 @@
 	name   string
 	cmd    *exec.Cmd
 	exited chan struct{}
-	log    *bytes.Buffer
 }
 
 func (p *process) kill() {
@@ -121,7 +121,7 @@
 
 // run starts a process.
 func (f *fleet) run(name string, env []string, command string, args ...string) (*process, error) {
-	p := &process{name: name, cmd: exec.Command(command, args...), exited: make(chan struct{}), log: &bytes.Buffer{}}
+	p := &process{name: name, cmd: exec.Command(command, args...), exited: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
 	out, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano())))
 	if err != nil {
@@ -267,7 +267,7 @@
 			route(safePath, "safe", plainService, 2, false, 800, 150, 0),
 		},
 		"services": []any{
-			map[string]any{"name": modelService, "max_connections": 180, "engine": map[string]any{"slots": 16, "kv_tokens": 74_442, "kv_hold_s": 0.5, "stride": 1}},
+			map[string]any{"name": modelService, "max_connections": 180, "engine": map[string]any{"slots": 16, "kv_tokens": 74_442, "kv_hold_s": 0.5, "stride": 1, "switch_s": f.switchSeconds}},
 			map[string]any{"name": plainService, "max_connections": 110},
 		},
 		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 4 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 15_000},
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,9 +16,6 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){}
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "server" {
-		os.Exit(runServer(os.Args[2:]))
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(exitNotRun)
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,17 +20,13 @@
 	// events and pace shape the streams of a decode server.
 	events int
 	pace   time.Duration
-	// work is the time that a plain request takes; 0 is usualWork.
-	work time.Duration
-	// unframed makes the server answer streams with neither a length nor chunks.
-	unframed bool
 	// handles are the prefill results of all servers of the process; nil accepts any.
 	handles *handles
-	// trouble, if not nil, takes over a connection instead of an answer. It reports false if
-	// the request is to be answered as usual.
-	trouble func(s *server, w http.ResponseWriter, in standin.ServerRequest) bool
-	// ran is called when the server begins to work on a request.
-	ran func(s *server, in standin.ServerRequest)
+	// fleet is set if the server takes orders to change its stage.
+	fleet *fleet
+	mu    sync.Mutex // guards stage and switching, where orders are taken
+	// switching is set while the stage changes.
+	switching bool
 
 	http *http.Server
 }
@@ -80,6 +74,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.fleet != nil && s.order(s.fleet, w, r) {
+		return
+	}
+	s.mu.Lock()
+	stage, switching := s.stage, s.switching
+	s.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -93,7 +93,11 @@
 	case in.Instance != "" && in.Instance != s.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case s.trouble != nil && s.trouble(s, w, in):
+	case switching:
+		standin.RefuseRequest(w)
+		return
+	case in.Prefill && stage != "prefill" || in.Source != "" && stage != "decode":
+		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case in.Prefill:
 		time.Sleep(90 * time.Millisecond) // 5,000 tokens, 55.6 a millisecond
@@ -103,21 +107,16 @@
 		}
 		_ = standin.WritePrefilled(w, handle, 5000)
 		return
-	case s.stage == "decode" && s.handles != nil && in.Source != "" && !s.handles.take(in.Source, in.ID):
+	case stage == "decode" && s.handles != nil && in.Source != "" && !s.handles.take(in.Source, in.ID):
 		standin.RefuseRequest(w)
 		return
 	}
-	if s.ran != nil {
-		s.ran(s, in)
-	}
 	standin.ProveAnswer(w.Header(), in.ID, 1, 0, s.slots)
-	if s.stage == "decode" {
+	if stage == "decode" {
 		s.stream(w, r, in)
 		return
 	}
-	if !sleepOrGone(r.Context(), cmp.Or(s.work, usualWork)) {
-		panic(http.ErrAbortHandler)
-	}
+	time.Sleep(usualWork)
 	_, _ = fmt.Fprintf(w, "answer to %s: %s", in.ID, bytes.ToUpper(body))
 }
 
@@ -126,32 +125,11 @@
 
 func (s *server) stream(w http.ResponseWriter, r *http.Request, in standin.ServerRequest) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	if !s.unframed {
-		for k := in.LastEvent + 1; k <= s.events && r.Context().Err() == nil; k++ {
-			if _, err := io.WriteString(w, s.event(k)); err != nil {
-				return
-			}
-			_ = http.NewResponseController(w).Flush()
-			time.Sleep(s.pace)
-		}
-		return
-	}
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	var head strings.Builder
-	head.WriteString("HTTP/1.1 200 OK\r\n")
-	_ = w.Header().Write(&head)
-	head.WriteString("Connection: close\r\n\r\n")
-	if _, err := io.WriteString(c, head.String()); err != nil {
-		return
-	}
-	for k := in.LastEvent + 1; k <= s.events; k++ {
-		if _, err := io.WriteString(c, s.event(k)); err != nil {
+	for k := in.LastEvent + 1; k <= s.events && r.Context().Err() == nil; k++ {
+		if _, err := io.WriteString(w, s.event(k)); err != nil {
 			return
 		}
+		_ = http.NewResponseController(w).Flush()
 		time.Sleep(s.pace)
 	}
 }
