--- a/review/harness/holder.go
+++ b/review/harness/holder.go
@@ -10,7 +10,14 @@
 	"time"
 )
 
-func init() { cases["holder"] = holderCase }
+func init() {
+	cases["holder"] = func(f *fleet, trouble bool) (bool, error) {
+		return releaseCase(f, release{prefills: 4, decodes: 3, streams: 54, kill: trouble, replace: true})
+	}
+	cases["minimum"] = func(f *fleet, trouble bool) (bool, error) {
+		return releaseCase(f, release{prefills: 2, decodes: 2, streams: 36, replace: trouble})
+	}
+}
 
 // switchTime is switch_s of sites/nbct-router.toml.
 const switchTime = 6 * time.Second
@@ -51,15 +58,26 @@
 	return true
 }
 
-// holderCase replaces the decode servers of version v1 by servers of v2, while prefill servers of
-// v1 stay. Before that, the entry is killed that gives orders to servers.
-func holderCase(f *fleet, trouble bool) (bool, error) {
+// release is the replacement of decode servers of version v1 by as many of v2, while the prefill
+// servers of v1 stay.
+type release struct {
+	prefills, decodes int // of v1
+	streams           int
+	// kill is set if the entry that gives orders to servers is killed before. Without replace the
+	// servers of v1 stay beside those of v2.
+	kill, replace bool
+}
+
+// releaseCase plays a release and has callers take up the streams that break off with it.
+func releaseCase(f *fleet, r release) (bool, error) {
 	const (
 		events   = 130
 		pace     = 100 * time.Millisecond
-		streams  = 54
 		longest  = 10 * time.Second // from draining until the servers exit
 		interval = 60 * time.Millisecond
+		// Two servers are replaced at a time, a second apart.
+		atATime = 2
+		gap     = time.Second
 	)
 	f.switchSeconds = switchTime.Seconds()
 	f.configure(1)
@@ -80,7 +98,11 @@
 		return s, nil
 	}
 	var old []*server // decode servers of v1
-	for n, stage := range []string{"prefill", "prefill", "prefill", "prefill", "decode", "decode", "decode"} {
+	for n := range r.prefills + r.decodes {
+		stage := "prefill"
+		if n >= r.prefills {
+			stage = "decode"
+		}
 		s, err := start(n, stage, "v1")
 		if err != nil {
 			return false, err
@@ -103,7 +125,7 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
-	if trouble {
+	if r.kill {
 		f.record.line("front-1 is killed, and starts again")
 		entries[0].kill()
 		time.Sleep(500 * time.Millisecond)
@@ -115,14 +137,14 @@
 		}
 	}
 	time.Sleep(4 * time.Second) // longer than stable_window_ms
-	for n, stage := range []string{"decode", "decode", "decode"} {
-		if _, err := start(10+n, stage, "v2"); err != nil {
+	for n := range r.decodes {
+		if _, err := start(10+n, "decode", "v2"); err != nil {
 			return false, err
 		}
 	}
-	f.record.line("three decode servers of v2 have started")
+	f.record.line("%d decode servers of v2 have started", r.decodes)
 	time.Sleep(500 * time.Millisecond)
-	first, again, fresh := make([]reply, streams), make([]reply, streams), make([]reply, streams)
+	first, again, fresh := make([]reply, r.streams), make([]reply, r.streams), make([]reply, r.streams)
 	var all sync.WaitGroup
 	send := func(machine int, id, resumes string, last int) reply {
 		ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
@@ -133,7 +155,7 @@
 		}
 		return call(ctx, f.at(machine, frontPort), resumePath+"x", "prompt "+c.Parts[1], c)
 	}
-	for i := range streams {
+	for i := range r.streams {
 		all.Go(func() {
 			id := fmt.Sprintf("s%02d", i)
 			first[i] = send(10+i%2, id, "", 0)
@@ -146,19 +168,26 @@
 		})
 		time.Sleep(interval)
 	}
-	for _, s := range old {
-		f.register(s, "draining")
-	}
-	f.record.line("the decode servers of v1 drain")
-	time.Sleep(longest)
-	for _, s := range old {
-		_ = s.http.Close()
-		f.store.Put("servers/"+s.id, nil)
+	if r.replace {
+		var left sync.WaitGroup
+		for i, s := range old {
+			if i > 0 && i%atATime == 0 {
+				time.Sleep(gap)
+			}
+			f.register(s, "draining")
+			f.record.line("%s drains", s.id)
+			left.Go(func() {
+				time.Sleep(longest)
+				_ = s.http.Close()
+				f.store.Put("servers/"+s.id, nil)
+			})
+		}
+		left.Wait()
+		f.record.line("the decode servers of v1 have left")
 	}
-	f.record.line("the decode servers of v1 have left")
 	all.Wait()
 	taken, wentOn, asked, began := 0, 0, 0, 0
-	for i := range streams {
+	for i := range r.streams {
 		ids, versions := eventsOf(first[i].body)
 		if len(ids) == 0 || first[i].whole {
 			f.record.line("s%02d: %d events, complete %t", i, len(ids), first[i].whole)
@@ -176,7 +205,7 @@
 		}
 		f.record.line("s%02d: %d events of %v, taken up: status %d, %d events of %v; a new stream: status %d, %d events", i, len(ids), versions[0], again[i].status, len(more), went[:min(1, len(went))], fresh[i].status, len(others))
 	}
-	f.record.line("%d of %d streams that were taken up went on; %d of %d new ones began; four servers of v1 serve", wentOn, taken, began, asked)
+	f.record.line("%d of %d streams that were taken up went on; %d of %d new ones began; %d prefill servers of v1 served all the while", wentOn, taken, began, asked, r.prefills)
 	if taken < 12 {
 		return false, nil // the rule asks for 12
 	}
