--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -13,8 +13,8 @@
 
 func init() { cases["versions"] = versionsCase }
 
-// versionsCase has an entry cut off from the store and from the other entry while servers of a
-// second version are added. The other entry is killed, and its callers take their streams up at
+// versionsCase has an entry cut off from the store and from the other entry while half of the
+// servers are replaced by servers of a second version. The other entry is killed, and its callers take their streams up at
 // the one that is cut off.
 func versionsCase(f *fleet, trouble bool) (bool, error) {
 	const (
@@ -47,10 +47,13 @@
 		f.register(s, "ready")
 		return s, nil
 	}
-	for n, stage := range []string{"prefill", "prefill", "decode", "decode", "decode", "decode"} {
-		if _, err := newServer(n, stage, "v1"); err != nil {
+	var old []*server
+	for n, stage := range []string{"prefill", "prefill", "prefill", "decode", "decode", "decode", "decode", "decode"} {
+		s, err := newServer(n, stage, "v1")
+		if err != nil {
 			return false, err
 		}
+		old = append(old, s)
 	}
 	if _, err := f.startEntry("front-cut", cutOff, entryOptions{bootstrap: true, store: f.at(storeAlias, storePort), seeds: []string{f.at(cutOff, controlPort), f.at(otherAlias, controlPort)}}); err != nil {
 		return false, err
@@ -72,13 +75,19 @@
 		entryPath.cut.Store(true)
 	}
 	time.Sleep(500 * time.Millisecond)
-	f.record.line("servers of version v2 are added")
-	for n, stage := range []string{"prefill", "decode", "decode", "decode"} {
-		if _, err := newServer(10+n, stage, "v2"); err != nil {
+	// Half of the servers are replaced, two at a time, a second apart.
+	for n, former := range []*server{old[2], old[3], old[4], old[5]} {
+		if n == 2 {
+			time.Sleep(time.Second)
+		}
+		s, err := newServer(10+n, former.stage, "v2")
+		if err != nil {
 			return false, err
 		}
+		f.register(former, "draining")
+		f.record.line("%s has started, and %s drains", s.id, former.id)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	first, again := make([]reply, streams), make([]reply, streams)
 	var all sync.WaitGroup
 	send := func(machine int, c standin.CallerRequest, body string) reply {
