--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -113,6 +113,11 @@
 	time.Sleep(500 * time.Millisecond)
 	f.record.line("front-other is killed")
 	b.kill()
+	time.Sleep(500 * time.Millisecond)
+	if _, err := f.startEntry("front-other", other, entryOptions{store: f.storeAddr(), seeds: []string{f.at(cutOffAlias, controlPort), f.at(other, controlPort)}}); err != nil {
+		return false, err
+	}
+	f.record.line("front-other starts again")
 	time.Sleep(max(0, 8*time.Second-time.Since(cutAt)))
 	storePath.cut.Store(false)
 	entryPath.cut.Store(false)
