--- a/review/harness/holder.go
+++ b/review/harness/holder.go
@@ -12,10 +12,10 @@
 
 func init() {
 	cases["holder"] = func(f *fleet, trouble bool) (bool, error) {
-		return releaseCase(f, release{prefills: 4, decodes: 3, streams: 36, kill: trouble, replace: true})
+		return releaseCase(f, release{prefills: 4, decodes: 3, streams: 36, atATime: 2, kill: trouble, replace: true})
 	}
 	cases["minimum"] = func(f *fleet, trouble bool) (bool, error) {
-		return releaseCase(f, release{prefills: 2, decodes: 2, streams: 24, replace: trouble})
+		return releaseCase(f, release{prefills: 2, decodes: 2, streams: 24, atATime: 1, replace: trouble})
 	}
 }
 
@@ -63,6 +63,7 @@
 type release struct {
 	prefills, decodes int // of v1
 	streams           int
+	atATime           int // servers that are replaced together; the next follow a second later
 	// kill is set if the entry that gives orders to servers is killed before. Without replace the
 	// servers of v1 stay beside those of v2.
 	kill, replace bool
@@ -75,10 +76,8 @@
 		pace     = 100 * time.Millisecond
 		longest  = 9 * time.Second // from draining until the servers exit
 		interval = 60 * time.Millisecond
-		// Two servers are replaced at a time, a second apart.
-		atATime = 2
-		limit   = 14 * time.Second // of a caller, from its first try
-		gap     = time.Second
+		limit    = 14 * time.Second // of a caller, from its first try
+		gap      = time.Second
 	)
 	f.switchSeconds = switchTime.Seconds()
 	f.configure(1)
@@ -165,11 +164,11 @@
 	}
 	if r.replace {
 		var left sync.WaitGroup
-		for i := 0; i < len(old); i += atATime {
+		for i := 0; i < len(old); i += r.atATime {
 			if i > 0 {
 				time.Sleep(gap)
 			}
-			former := old[i:min(i+atATime, len(old))]
+			former := old[i:min(i+r.atATime, len(old))]
 			for k, s := range former {
 				next, err := start(10+i+k, "decode", "v2")
 				if err != nil {
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -75,9 +75,9 @@
 		entryPath.cut.Store(true)
 	}
 	time.Sleep(500 * time.Millisecond)
-	// Half of the servers are replaced, two at a time, a second apart.
+	// Half of the servers are replaced, one at a time, a second apart.
 	for n, former := range []*server{old[2], old[3], old[4], old[5]} {
-		if n == 2 {
+		if n > 0 {
 			time.Sleep(time.Second)
 		}
 		s, err := newServer(10+n, former.stage, "v2")
@@ -118,7 +118,7 @@
 		return false, err
 	}
 	f.record.line("front-other starts again")
-	time.Sleep(max(0, 8*time.Second-time.Since(cutAt)))
+	time.Sleep(max(0, 10*time.Second-time.Since(cutAt)))
 	storePath.cut.Store(false)
 	entryPath.cut.Store(false)
 	f.record.line("the partition is over, %.1f s after it began", time.Since(cutAt).Seconds())
