router: an entry concludes what began a stream only from a current view

Cause: without a record an entry goes on at the only version that it knows if it has seen all registrations for two minutes. That excludes gaps, but not age: while an entry is cut off, no gap shows yet. The same holds for unmovedFor, a gap that a suspension of the VM hid (it was measured on a clock that stands still), and the lifetime of streams, a constant in place of the limits of route and caller.

Change: directory.Coverage carries both ends of the span that is known; router.onlyOrigin needs it to reach from the earliest begin of the stream to the arrival of the call, and asks the store otherwise (feed.Cover, one read for all who wait). The refusal's log line says what was missing.

Why it works: a version that began the stream had registered before the stream began, so before the call arrived; a read that began after the arrival shows it. Who can't read refuses.

Test: TestTheOnlyVersionDoesNotOutweighARecord/an_entry_cut_off_from_the_registry_and_the_other_processes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -200,18 +200,46 @@
 	Services map[string][]*Server
 
 	routesByHost map[string]*routeIndex
-	// ReadAt is the time at which the registry last confirmed that the snapshot is
-	// complete.
-	ReadAt time.Time
-	// MissedUntil is the time up to which servers may have registered and left again without
-	// being in any snapshot; zero if none has.
-	MissedUntil time.Time
+	// Former are the roles that servers have lost within RoleTTL, with the time until which one
+	// had them.
+	Former map[Role]time.Time
+	// ServersKnown is the time of which all registrations are known, and ConfigKnown that of
+	// which all configurations are.
+	ServersKnown, ConfigKnown Coverage
+}
+
+// Roles returns the roles that servers have or had since a time. That others had none follows
+// only if ServersKnown includes the time.
+func (s *Snapshot) Roles(since time.Time) map[Role]bool {
+	out := map[Role]bool{}
+	for _, server := range s.Servers {
+		out[server.Role()] = true
+	}
+	for r, until := range s.Former {
+		if !until.Before(since) {
+			out[r] = true
+		}
+	}
+	return out
+}
+
+// Role is what a server does, as far as streams depend on it.
+type Role struct {
+	Service, Software string
+	Stage             Stage
+}
+
+// Role returns the role of a server.
+func (s *Server) Role() Role {
+	return Role{Service: s.Service, Software: s.Software, Stage: s.Stage}
 }
 
+// RoleTTL is the time for which roles are remembered that no server has any longer.
+const RoleTTL = 2 * time.Minute
+
 // Directory holds the latest snapshot. It is safe for concurrent use.
 type Directory struct {
 	mu      sync.Mutex // serializes writers and guards missing
-	created time.Time
 	current atomic.Pointer[Snapshot]
 	changed atomic.Pointer[chan struct{}]
 	// missing are the servers whose registration expired around an outage of the
@@ -222,6 +250,8 @@
 	// held are the servers that get no new work until a time, although their restored
 	// registration is ready.
 	held map[string]time.Time
+	// nothingBefore is set if no server served before this process started.
+	nothingBefore bool
 }
 
 // goneServer is a server that was removed.
@@ -243,7 +273,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{created: time.Now(), missing: map[string]time.Time{}, gone: map[string]goneServer{}, held: map[string]time.Time{}}
+	d := &Directory{missing: map[string]time.Time{}, gone: map[string]goneServer{}, held: map[string]time.Time{}}
 	d.current.Store(&Snapshot{Servers: map[string]*Server{}})
 	ch := make(chan struct{})
 	d.changed.Store(&ch)
@@ -278,36 +308,6 @@
 	return true
 }
 
-// ConfirmRead records that the snapshot was complete at a time. It does not close the channel of
-// Changed.
-func (d *Directory) ConfirmRead(at time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := *d.Current()
-	if !at.After(next.ReadAt) {
-		return
-	}
-	next.ReadAt = at
-	d.current.Store(&next)
-}
-
-// ConfirmWholeRead records that the whole registry is read anew. Servers that were there for
-// less than shortest since the last confirmed read are not expected to have served.
-func (d *Directory) ConfirmWholeRead(at time.Time, shortest time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := *d.Current()
-	last := next.ReadAt
-	if last.IsZero() {
-		last = d.created
-	}
-	if at.Sub(last) > shortest {
-		next.MissedUntil = at
-	}
-	next.ReadAt = at
-	d.current.Store(&next)
-}
-
 // Change is a change of the registration of one server.
 type Change struct {
 	// Put, if not nil, is the new registration; otherwise that of ID is removed.
@@ -330,19 +330,12 @@
 	defer d.mu.Unlock()
 	u := d.update()
 	effects := make([]bool, len(changes))
-	added := map[string]bool{}
 	for i, c := range changes {
 		if c.Put != nil {
-			if _, ok := u.get(c.Put.ID); !ok {
-				added[c.Put.ID] = true
-			}
 			effects[i] = d.put(u, c.Put)
 			continue
 		}
 		effects[i] = d.remove(u, c.ID, c.Keep)
-		if _, ok := u.get(c.ID); !ok && added[c.ID] {
-			u.next.MissedUntil = time.Now() // it has been in no snapshot
-		}
 	}
 	u.publish()
 	return effects
@@ -452,6 +445,8 @@
 	changed   bool
 	// copied are the services whose lists are copies.
 	copied map[string]bool
+	// formerCopied is set once next.Former is a copy.
+	formerCopied bool
 }
 
 // update begins a change. The caller holds d.mu until it is published.
@@ -485,7 +480,10 @@
 
 func (u *update) put(s *Server) {
 	if old, ok := u.get(s.ID); ok {
-		u.remove(old)
+		u.removeFrom(old)
+		if old.Role() != s.Role() {
+			u.recordFormer(old.Role(), time.Now())
+		}
 	}
 	list := u.copyFor(s.Service)
 	i, _ := slices.BinarySearchFunc(list, s.ID, compareID)
@@ -493,7 +491,31 @@
 	u.next.Servers[s.ID] = s
 }
 
+// remove removes a server that has left.
 func (u *update) remove(s *Server) {
+	u.removeFrom(s)
+	u.recordFormer(s.Role(), time.Now())
+}
+
+// recordFormer records that a server had a role until a time.
+func (u *update) recordFormer(r Role, until time.Time) {
+	if !u.formerCopied {
+		u.formerCopied = true
+		former := make(map[Role]time.Time, len(u.next.Former)+1)
+		for known, at := range u.next.Former {
+			if until.Sub(at) <= RoleTTL {
+				former[known] = at
+			}
+		}
+		u.next.Former = former
+	}
+	if u.next.Former[r].Before(until) {
+		u.next.Former[r] = until
+	}
+}
+
+// removeFrom removes a server from the table and from the list of its service.
+func (u *update) removeFrom(s *Server) {
 	list := u.copyFor(s.Service)
 	if i, ok := slices.BinarySearchFunc(list, s.ID, compareID); ok {
 		list = slices.Delete(list, i, i+1)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -80,30 +80,6 @@
 	})
 }
 
-// TestGapsBetweenReadsAreKnown guards against an entry that takes itself to have seen every
-// server although it could not read the registry for a while.
-func TestGapsBetweenReadsAreKnown(t *testing.T) {
-	for name, tc := range map[string]struct {
-		silence time.Duration
-		missed  bool
-	}{"none": {0, false}, "short": {time.Second, false}, "long": {3 * time.Second, true}} {
-		for _, first := range []bool{true, false} {
-			t.Run(name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					d := New()
-					if !first {
-						d.ConfirmRead(time.Now())
-					}
-					time.Sleep(tc.silence)
-					d.ConfirmWholeRead(time.Now(), 2*time.Second)
-					is.Equal(!d.Current().MissedUntil.IsZero(), tc.missed)
-				})
-			})
-		}
-	}
-}
-
 // TestRoutesWithAnyPrefixAreFound compares the index of routes with its definition, also for
 // prefixes that do not end with a slash.
 func TestRoutesWithAnyPrefixAreFound(t *testing.T) {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// KnownAt reports whether all changes before a time are known.
+func (r *Record) KnownAt(at time.Duration) bool { return r.asOf.Load() > int64(at) }
+
 // Age returns the time since that as of which the knowledge is complete, or Never.
 func (r *Record) Age() time.Duration {
 	asOf := r.asOf.Load()
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -150,8 +150,7 @@
 	directory  *directory.Directory
 	dataCentre string
 	peers      Peers // nil for a single entry
-	// firstStart is set if no call was served before the start of this process.
-	firstStart bool
+	lifetimes  lifetimes
 
 	mu       sync.RWMutex // guards the fields below, but not the content of speeds
 	backends map[string]*backend
@@ -163,12 +162,6 @@
 	servers map[string]*predict.Servers
 	lastID  int32
 	synced  *directory.Snapshot // of the last sync
-	// software holds the versions of software that decode servers of a service have or had, with
-	// the time at which each was last seen. Those that were seen at syncedAt are present.
-	software map[string]map[string]time.Time
-	syncedAt time.Time
-	// firstServers is the time at which this process first knew a server; zero before.
-	firstServers time.Time
 	// movedAt are the times since which routes have the services that they have, by name; routes
 	// are missing that have had no others since the start.
 	movedAt map[string]time.Time
@@ -177,7 +170,7 @@
 }
 
 func newFleet(d *directory.Directory, dataCentre string, peers Peers) *fleet {
-	return &fleet{directory: d, dataCentre: dataCentre, peers: peers, backends: map[string]*backend{}, advice: advisory.NewTable(), software: map[string]map[string]time.Time{}, movedAt: map[string]time.Time{}, speeds: map[string]*predict.Speeds{}, servers: map[string]*predict.Servers{}}
+	return &fleet{directory: d, dataCentre: dataCentre, peers: peers, backends: map[string]*backend{}, advice: advisory.NewTable(), movedAt: map[string]time.Time{}, speeds: map[string]*predict.Speeds{}, servers: map[string]*predict.Servers{}}
 }
 
 // memoryShare is the fraction of an engine's memory that is planned with. The rest
@@ -206,7 +199,6 @@
 	if snap = f.directory.Current(); f.synced == snap { // it may have changed before the lock was had
 		return
 	}
-	f.recordSoftwareLocked(snap, time.Now())
 	configured := f.synced != nil && f.synced.Config == snap.Config
 	if !configured && f.synced != nil {
 		f.recordMovesLocked(f.synced.Config, snap.Config, time.Now())
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -68,6 +68,8 @@
 	begun    bool
 	// knownBy is how the version of a stream that the call takes up became known.
 	knownBy originSource
+	// missing are log fields that tell why that is not known.
+	missing []any
 	// keys are those of the stream, once they were needed.
 	keys origin.Stream
 	// relayed is set once the stream is among those that this entry relays.
@@ -156,7 +158,7 @@
 // route, the version of the configuration and the age of the registry data.
 func (x *exchange) stateFields() []any {
 	snap := x.router.directory.Current()
-	out := []any{"read_ago_ms", time.Since(snap.ReadAt).Milliseconds()}
+	out := []any{"read_ago_ms", snap.ServersKnown.Age(time.Now()).Milliseconds()}
 	if snap.Config != nil {
 		out = append(out, "config", snap.Config.Version)
 	}
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -283,13 +283,39 @@
 
 func newFleet() *fleet {
 	f := &fleet{servers: newFakeServers(), directory: newDirectory()}
-	f.Router = router.New(f.directory, f.servers, testOptions, log.NewNopLogger())
+	o := testOptions
+	o.Registry = newRegistry(f.directory, o.FirstStart)
+	f.Router = router.New(f.directory, f.servers, o, log.NewNopLogger())
 	return f
 }
 
-// newDirectory returns a directory with three plain servers, two for prefills and three for
-// decodes.
-func newDirectory() *directory.Directory {
+// registry implements router.Registry: it holds what a directory holds.
+type registry struct {
+	directory   *directory.Directory
+	unreachable atomic.Bool
+}
+
+// newRegistry returns the registry from which a directory was read just now.
+func newRegistry(d *directory.Directory, first bool) *registry {
+	if first {
+		d.NothingBefore()
+	}
+	d.ConfirmWholeRead(time.Now(), false)
+	d.ConfirmWholeConfigRead(time.Now(), false)
+	return &registry{directory: d}
+}
+
+func (r *registry) Cover(context.Context, time.Duration) error {
+	if r.unreachable.Load() {
+		return errRefusedConnection
+	}
+	r.directory.ConfirmRead(time.Now())
+	r.directory.ConfirmConfigRead(time.Now())
+	return nil
+}
+
+// newConfiguredDirectory returns a directory without servers.
+func newConfiguredDirectory() *directory.Directory {
 	d := directory.New()
 	route := func(prefix string, k directory.Kind, service string, attempts int, resumable bool) directory.Route {
 		return directory.Route{
@@ -311,6 +337,13 @@
 			"llm": {Name: "llm", Engine: &directory.Engine{Slots: 12, MemoryTokens: 65_000, HandleTTL: 500 * time.Millisecond, EventTokens: 72, StageChangeTime: 6 * time.Second}},
 		},
 	})
+	return d
+}
+
+// newDirectory returns a directory with three plain servers, two for prefills and three for
+// decodes.
+func newDirectory() *directory.Directory {
+	d := newConfiguredDirectory()
 	for _, id := range plainServers {
 		d.Put(&directory.Server{ID: id, Service: "app", Slots: 6, DataCentre: "dc"})
 	}
--- a/internal/router/only_version_test.go
+++ b/internal/router/only_version_test.go
@@ -61,12 +61,22 @@
 			g.entries = all[1:]
 			return streams
 		},
+		"an entry cut off from the registry and the other processes": func(g *region) []*begunStream {
+			time.Sleep(directory.RoleTTL + time.Second) // only v1 counts now
+			g.registries[4].unreachable.Store(true)
+			g.network.SetDrop(func(from, to string) bool { return from == entryAddr(4) || to == entryAddr(4) })
+			for _, d := range g.directories[:4] {
+				g.replaceDecodeServers(d, "v2")
+			}
+			all := g.entries
+			g.entries = all[:4]
+			streams := g.beginStreams(10, func() {})
+			g.entries = all[4:]
+			return streams
+		},
 		"an entry that reads the registry late": func(g *region) []*begunStream {
 			g.stop[4]()
-			d := newDirectory()
-			for id := range d.Current().Servers {
-				d.Remove(id, 0)
-			}
+			d := newConfiguredDirectory()
 			g.start(4, d, false)
 			time.Sleep(time.Second)
 			all := g.entries
@@ -76,7 +86,7 @@
 				d.Put(s)
 			}
 			g.replaceDecodeServers(d, "v2")
-			d.ConfirmWholeRead(time.Now(), 1700*time.Millisecond)
+			d.ConfirmWholeRead(time.Now(), true)
 			g.entries = all[4:]
 			time.Sleep(12900 * time.Millisecond)
 			return streams
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -120,7 +120,7 @@
 	x.router.count.takenUp[source].Add(1)
 	switch {
 	case source == originUnknown:
-		x.warn("stream of unknown origin", "takes_up", x.call.Resumes)
+		x.warn("stream of unknown origin", append([]any{"takes_up", x.call.Resumes}, x.missing...)...)
 		return apierror.NotRun(apierror.KindUnavailable, "it is not known which version of the servers began the stream", restartRemedy)
 	case o.Service != "" && !x.route.Sends(o.Service):
 		x.warn("the route no longer has the service that began the stream", "takes_up", x.call.Resumes, "service", o.Service)
@@ -150,19 +150,11 @@
 	}
 	switch {
 	case o.Ambiguous:
-		return origin.Origin{}, originUnknown
+		return x.unknownOrigin(missingRecord)
 	case known:
 		return o, source
-	case x.call.Resumes == "" && len(x.route.Shares) > 1:
-		return origin.Origin{}, originUnknown // the service follows from the ID of the first call
 	}
-	// The time limit of the route may have been longer when the stream began. Without versions,
-	// servers of any may appear while the call waits.
-	f := x.router.fleet
-	if versions := f.softwareWithin(x.service, softwareTTL); len(versions) == 1 && x.route.Timeout <= softwareTTL && f.seenAllFor(softwareTTL) && f.unmovedFor(x.route, softwareTTL) {
-		return origin.Origin{Service: x.service, Software: versions[0]}, originOnly
-	}
-	return origin.Origin{}, originUnknown
+	return x.onlyOrigin(ctx)
 }
 
 // askOrigin asks the other entries, and the keepers beside the servers of all services, what
@@ -207,39 +199,6 @@
 	return b != nil && (!x.begun || b.server.Load().Software == x.software)
 }
 
-// softwareWithin returns the versions of software that decode servers of a service have, or
-// had within a time. Others have begun no streams that still run.
-func (f *fleet) softwareWithin(service string, d time.Duration) []string {
-	f.sync()
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var out []string
-	now := time.Now()
-	for v, seen := range f.software[service] {
-		if !seen.Before(f.syncedAt) || now.Sub(seen) <= d {
-			out = append(out, v)
-		}
-	}
-	return out
-}
-
-// seenAllFor reports whether this process has seen all registrations for a time. Otherwise a
-// version may have begun streams and left before this process knew it.
-func (f *fleet) seenAllFor(d time.Duration) bool {
-	f.mu.RLock()
-	since := f.firstServers
-	f.mu.RUnlock()
-	if f.firstStart {
-		since = time.Time{} // no stream was begun before
-	} else if since.IsZero() {
-		return false
-	}
-	if gap := f.directory.Current().MissedUntil; gap.After(since) {
-		since = gap
-	}
-	return since.IsZero() || time.Since(since) >= d
-}
-
 // FollowServers records the versions of the servers with each change until stop is closed, and
 // tells new keepers of the streams that this entry relays.
 func (r *Router) FollowServers(stop <-chan struct{}) {
@@ -259,45 +218,6 @@
 	}
 }
 
-// softwareTTL is the time for which versions of software are remembered of which no server
-// is left. It is longer than streams last.
-const softwareTTL = origin.Retention
-
-// recordSoftwareLocked records the versions of software of the decode servers in a snapshot.
-func (f *fleet) recordSoftwareLocked(snap *directory.Snapshot, now time.Time) {
-	if f.synced != nil {
-		// The versions of the former snapshot were there until now.
-		f.markSoftwareLocked(f.synced, now.Add(-1))
-	}
-	f.syncedAt = now
-	if f.firstServers.IsZero() && len(snap.Servers) > 0 {
-		f.firstServers = now
-	}
-	f.markSoftwareLocked(snap, now)
-	for _, versions := range f.software {
-		for v, seen := range versions {
-			if now.Sub(seen) > softwareTTL {
-				delete(versions, v)
-			}
-		}
-	}
-}
-
-func (f *fleet) markSoftwareLocked(snap *directory.Snapshot, at time.Time) {
-	for service, list := range snap.Services {
-		versions, ok := f.software[service]
-		if !ok {
-			versions = map[string]time.Time{}
-			f.software[service] = versions
-		}
-		for _, s := range list {
-			if s.Stage == directory.Decode {
-				versions[s.Software] = at
-			}
-		}
-	}
-}
-
 // hasSoftware reports whether a decode server of a service takes work that has a version
 // of software.
 func (f *fleet) hasSoftware(service, software string) bool {
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -138,7 +138,7 @@
 // Snapshot returns the current state.
 func (r *Router) Snapshot() Snapshot {
 	snap := r.directory.Current()
-	out := Snapshot{ReadAgo: time.Since(snap.ReadAt).Milliseconds(), Waiting: r.dispatch.QueueLength(), Entries: r.entries(), Speeds: r.speeds()}
+	out := Snapshot{ReadAgo: snap.ServersKnown.Age(time.Now()).Milliseconds(), Waiting: r.dispatch.QueueLength(), Entries: r.entries(), Speeds: r.speeds()}
 	out.Blames = newBlameSnapshots(r.blame.Blames(time.Now()), time.Now())
 	if r.quotas.Limited() {
 		state := r.quotas.State(time.Now())
@@ -205,7 +205,7 @@
 		}
 		return 0
 	})
-	set.Gauge("registry_read_ago_ms", func() any { return time.Since(r.directory.Current().ReadAt).Milliseconds() })
+	set.Gauge("registry_read_ago_ms", func() any { return r.directory.Current().ServersKnown.Age(time.Now()).Milliseconds() })
 	set.Gauge("entries", func() any { return r.entries() })
 	set.Gauge("keepers", func() any { return r.keepers() })
 	set.Gauge("streams_relayed", func() any { return r.relayed.len() })
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -21,6 +21,7 @@
 	servers     *fakeServers
 	entries     []*router.Router
 	directories []*directory.Directory
+	registries  []*registry
 	network     *memnet.Network
 	// alike is set if all streams of beginStreams ask the same, and unnamed if callers that take
 	// them up do not name the call that began them.
@@ -37,6 +38,9 @@
 	observe func(entry int, server string) advisory.Notice
 }
 
+// entryAddr returns the address at which an entry shares its load.
+func entryAddr(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+
 // withRegion runs a test in virtual time with entries that know each other.
 func withRegion(t *testing.T, entries int, test func(t *testing.T, g *region)) {
 	t.Helper()
@@ -44,12 +48,13 @@
 		g := &region{servers: newFakeServers(), network: memnet.New(memnet.EntryLatency), stopKeeper: map[string]context.CancelFunc{}}
 		ctx, cancel := context.WithCancel(context.Background())
 		var background sync.WaitGroup
-		addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
 		g.entries, g.directories, g.stop = make([]*router.Router, entries), make([]*directory.Directory, entries), make([]context.CancelFunc, entries)
+		g.registries = make([]*registry, entries)
 		g.start = func(i int, d *directory.Directory, first bool) {
-			x := loadexchange.New(g.network.Listen(addr(i)), loadexchange.Options{Self: addr(i), Seeds: []string{addr(0)}}, nopLogger)
+			x := loadexchange.New(g.network.Listen(entryAddr(i)), loadexchange.Options{Self: entryAddr(i), Seeds: []string{entryAddr(0)}}, nopLogger)
 			o := testOptions
-			o.Peers, o.FirstStart = x, first
+			g.registries[i] = newRegistry(d, first)
+			o.Peers, o.FirstStart, o.Registry = x, first, g.registries[i]
 			r := router.New(d, &entryServers{fakeServers: g.servers, region: g, entry: i}, o, nopLogger)
 			x.SetHandler(r)
 			own, stop := context.WithCancel(ctx)
@@ -90,10 +95,7 @@
 	time.Sleep(2 * time.Second)
 	g.network.SetDrop(nil)
 	for i, former := range g.directories {
-		d := newDirectory()
-		for id := range d.Current().Servers {
-			d.Remove(id, 0)
-		}
+		d := newConfiguredDirectory()
 		change(former)
 		for _, s := range former.Current().Servers {
 			d.Put(s)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,6 +42,8 @@
 	FirstStart bool
 	// Peers is nil for a single entry.
 	Peers Peers
+	// Registry is nil if nothing can be asked of it.
+	Registry Registry
 	// SpreadCalls spreads plain calls by the age of what is known of the servers' loads. Without
 	// it the server that seems the least loaded is chosen.
 	SpreadCalls bool
@@ -119,7 +121,6 @@
 		fleet: newFleet(d, o.DataCentre, o.Peers), budgets: map[string]*retry.Budget{}, count: newCounters(), started: time.Now(),
 		origins: origin.NewTable(), relayed: newRelayed(), blame: blame.NewRecord(), trials: semaphore.NewWeighted(1),
 	}
-	r.fleet.firstStart = o.FirstStart
 	if r.quotas = o.Quotas; r.quotas == nil {
 		r.quotas = quota.NewTable(time.Now(), true)
 	}
@@ -163,6 +164,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errTimeout)
 	defer cancel()
+	if x.route.Resumable {
+		r.fleet.lifetimes.record(keyOf(x.route), c.Deadline.Sub(c.Arrived), c.Arrived)
+	}
 	if refusal := x.findOrigin(ctx, snap.Config); refusal != nil {
 		x.fail(refusal)
 		return
--- a/internal/router/where.go
+++ b/internal/router/where.go
@@ -61,7 +61,7 @@
 // it.
 func (r *Router) Where(q Question) Where {
 	snap := r.directory.Current()
-	out := Where{ReadAgo: time.Since(snap.ReadAt).Milliseconds(), KeyAge: -1}
+	out := Where{ReadAgo: snap.ServersKnown.Age(time.Now()).Milliseconds(), KeyAge: -1}
 	if age, limit := r.keyAge(); limit > 0 {
 		out.KeyAge = age.Milliseconds()
 	}
