router: a version that loses its decode servers goes before the floor of two prefill servers

Cause: uncovered orders a prefill server of such a version to decode only if more than minStageServers stay in the prefill stage. Evidence: no order in the record of the case; with three prefill servers there is one.

Change: it orders one as long as another prefill server takes work, and the split doesn't restore the floor until the streams have ended. Without the order the streams end for certain; a stage of one server ends requests only if that one fails, too.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -148,6 +148,14 @@
 	Decode
 )
 
+// Other returns the other stage of a model server.
+func (s Stage) Other() Stage {
+	if s == Prefill {
+		return Decode
+	}
+	return Prefill
+}
+
 // Server is one registration of a backend server.
 type Server struct {
 	ID         string
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -45,8 +45,12 @@
 	wish        int
 	wishedSince time.Time
 	// ordered is set once an order was given.
-	ordered     bool
-	lastOrders  time.Time
+	ordered    bool
+	lastOrders time.Time
+	// floorWaivedUntil is the time until which the prefill stage may have fewer servers than
+	// minStageServers, for the streams of a version that one of them was ordered to decode.
+	floorWaivedUntil time.Time
+
 	prefillWork float64 // seconds of prefill servers, decayed
 	decodeWork  float64 // seconds of decode servers filled with runs, decayed
 	runMemory   float64 // sum of the mean memory of runs in tokens, decayed
@@ -81,12 +85,17 @@
 			if time.Since(b.lastOrders) < orderInterval {
 				continue
 			}
-			if server := r.uncovered(name, streamTime(snap.Config, svc)); server != nil {
+			longest := streamTime(snap.Config, svc)
+			if server := r.uncovered(name, longest); server != nil {
 				b.lastOrders = time.Now()
+				b.floorWaivedUntil = b.lastOrders.Add(svc.Engine.StageChangeTime + switchMargin + longest)
 				_ = level.Info(r.log).Log("msg", "no decode server has a version of software", "service", name, "software", server.server.Load().Software, "server", server.Name())
 				orders.Go(func() { r.reassign(ctx, holder, server, directory.Prefill, svc.Engine.StageChangeTime) })
 				continue
 			}
+			if len(prefills) < minStageServers && time.Now().Before(b.floorWaivedUntil) {
+				continue
+			}
 			d := b.demand(svc.Engine, r.prefillTime(snap.Config, svc))
 			n := len(prefills) - d.bestSplit(prefills, decodes)
 			if !b.lasting(n, svc.Engine.StageChangeTime) {
@@ -194,10 +203,7 @@
 // reassign orders a server of a stage to the other one. switchTime is the time that the
 // change takes.
 func (r *Router) reassign(ctx context.Context, holder string, b *backend, from directory.Stage, switchTime time.Duration) {
-	to := directory.Prefill
-	if from == directory.Prefill {
-		to = directory.Decode
-	}
+	to := from.Other()
 	b.stageChangeUntil.Store(time.Now().Add(switchTime + switchMargin).UnixNano())
 	b.orderedLocally.Store(true)
 	r.shareUsage(b)
@@ -256,7 +262,9 @@
 
 // uncovered returns the least used prefill server of a version of software that began
 // streams within a time and that no decode server has any longer; nil if there is no such
-// version, or there are too few prefill servers.
+// version, or no other prefill server takes work. This goes before minStageServers: without
+// it the streams of the version end for certain, while a stage of one server ends
+// requests only if that one fails, too.
 func (r *Router) uncovered(service string, within time.Duration) *backend {
 	began := r.fleet.softwareWithin(service, within)
 	if len(began) <= 1 {
@@ -264,18 +272,20 @@
 	}
 	var found *backend
 	r.dispatch.VisitServers(service, func(_ time.Duration, prefills, decodes []*backend) {
-		now, covering, all, staying := time.Now(), coverage(decodes), map[string]int{}, 0
+		now, covering, all, available := time.Now(), coverage(decodes), map[string]int{}, 0
 		for _, b := range prefills {
 			switch {
 			case b.leaving():
 			case b.switchTimeLeft(now) > 0:
 				covering[b.server.Load().Software]++ // it will decode
 			default:
-				staying++
+				if !b.view.Unavailable {
+					available++
+				}
 				all[b.server.Load().Software]++
 			}
 		}
-		if staying <= minStageServers {
+		if available < 2 {
 			return
 		}
 		for _, b := range prefills {
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -385,15 +385,19 @@
 		versions map[string]string
 		orders   int
 	}{
-		"a version loses its decode servers": {map[string]string{"p1": "v1", "p2": "v1", "p3": "v1", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v2"}, 1},
-		"a version has begun no streams":     {map[string]string{"p1": "v1", "p2": "v1", "p3": "v2", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v1"}, 0},
-		"one server of the version is left":  {map[string]string{"p1": "v1", "p2": "v2", "p3": "v2", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v2"}, 0},
+		"a version loses its decode servers":    {map[string]string{"p1": "v1", "p2": "v1", "p3": "v1", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v2"}, 1},
+		"a version has begun no streams":        {map[string]string{"p1": "v1", "p2": "v1", "p3": "v2", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v1"}, 0},
+		"two prefill servers are all there are": {map[string]string{"p1": "v1", "p2": "v1", "d1": "v1", "d2": "v1", "d3": "v2"}, 1},
+		"the last prefill server stays":         {map[string]string{"p1": "v1", "d1": "v1", "d2": "v1", "d3": "v2"}, 0},
+		"one server of the version is left":     {map[string]string{"p1": "v1", "p2": "v2", "p3": "v2", "p4": "v2", "d1": "v1", "d2": "v1", "d3": "v2"}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withRegion(t, 1, func(t *testing.T, g *region) {
 				is := is.New(t)
-				for _, id := range []string{"p3", "p4"} {
-					g.directories[0].Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+				for _, id := range []string{"p1", "p2", "p3", "p4"} {
+					if g.directories[0].Remove(id, 0); tc.versions[id] != "" {
+						g.directories[0].Put(&directory.Server{ID: id, Service: "llm", Slots: 12, DataCentre: "dc", Stage: directory.Prefill})
+					}
 				}
 				g.setSoftware(tc.versions)
 				ctx, cancel := context.WithCancel(context.Background())
