router: a server is used once it is registered with the stage that was ordered

Cause: the notice of a change of stage says until when the server takes no work, 2.5 s more than the change takes. Other entries kept to that after the server was registered with its new stage.

Change: the notice names the stage. An entry that knows the server with that stage ignores it.

--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/predict"
 	"github.com/samphirestream/samphirestream/internal/quota"
@@ -28,6 +29,9 @@
 	// StageChangeLeft is the remainder of that time in milliseconds, in messages
 	// only.
 	StageChangeLeft int64 `cbor:"4,keyasint,omitempty"`
+	// StageChangeTo is the stage that was ordered. The change is over once the server is registered
+	// with it.
+	StageChangeTo directory.Stage `cbor:"12,keyasint,omitempty"`
 	// Unreachable is set while the entry can not reach the server.
 	Unreachable bool `cbor:"5,keyasint,omitempty"`
 	// ReplacedUntil is the end of the time in which the server gets no work because
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -128,7 +128,7 @@
 		calls += o.Calls
 		unreachable = unreachable || o.Unreachable
 		brokenCallTimes = append(brokenCallTimes, o.BrokenCallTimes...)
-		if !o.StageChangeUntil.IsZero() {
+		if !o.StageChangeUntil.IsZero() && o.StageChangeTo != b.server.Load().Stage {
 			b.stageChangeUntil.Store(o.StageChangeUntil.UnixNano())
 		}
 		if !o.ReplacedUntil.IsZero() && o.Started == b.server.Load().Started {
@@ -203,7 +203,7 @@
 	addAdvice(&out, b)
 	addPace(&out, b)
 	if b.orderedLocally.Load() {
-		out.StageChangeUntil = time.Unix(0, b.stageChangeUntil.Load())
+		out.StageChangeUntil, out.StageChangeTo = time.Unix(0, b.stageChangeUntil.Load()), b.server.Load().Stage.Other()
 	}
 	if b.server.Load().Stage != directory.Plain {
 		r.dispatch.Update(b, func(_ time.Duration, v *placement.Server) {
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -420,3 +420,37 @@
 		})
 	}
 }
+
+// TestStreamsGoOnAtAServerOnceItHasChangedItsStage guards against entries that wait for the longest
+// time that the change might take, after the server is registered with its new stage.
+func TestStreamsGoOnAtAServerOnceItHasChangedItsStage(t *testing.T) {
+	withRegion(t, 3, func(t *testing.T, g *region) {
+		is := is.New(t)
+		g.serveVersions(map[string]string{"p1": "v1", "p2": "v1", "d1": "v1", "d2": "v1", "d3": "v2"})
+		ctx, cancel := context.WithCancel(context.Background())
+		balanced := make(chan struct{})
+		go func() { g.entries[0].Balance(ctx, "holder"); close(balanced) }()
+		defer func() { cancel(); <-balanced }()
+		time.Sleep(3 * time.Second)
+		streams := g.beginStreams(30, func() {})
+		for _, d := range g.directories {
+			d.Remove("d1", 0)
+			d.Remove("d2", 0)
+		}
+		time.Sleep(4 * time.Second) // of the 6 s that a change may take
+		orders := slices.DeleteFunc(g.servers.recorded(), func(call string) bool { return !strings.HasPrefix(call, "order ") })
+		is.Equal(len(orders), 1)
+		ordered := strings.Fields(orders[0])[1]
+		for _, d := range g.directories {
+			s := *d.Current().Servers[ordered]
+			s.Stage = directory.Decode
+			s.Version.Revision++
+			d.Put(&s)
+		}
+		time.Sleep(2 * time.Second) // full messages report the order again
+		begun, same, mixed := g.takeUpAll(slices.DeleteFunc(streams, func(s *begunStream) bool { return s.software() != "v1" }))
+		is.True(begun > 5)
+		is.Equal(same, begun)
+		is.Equal(mixed, 0)
+	})
+}
