router: a stream that is taken up isn't refused for the length of the whole answer

Cause: the answer of a take-up counted whole in the prediction whether it ends in its caller's time.

Change: the prediction no longer refuses take-ups, like streams that the entry itself resumes and those that wait for a version.

Test: TestTakeUpsAreNotRefusedForTheWholeAnswer; it failed before (refused), and passes. go test ./internal/router passes.

--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -122,7 +122,7 @@
 		PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens, ExpectedTokens: c.ExpectedTokens, Pieces: c.PromptTokens + c.MaxTokens,
 		Prefixes: c.Prefixes, Urgent: urgent, FailedServers: x.tried, MaxRetryAfter: maxAdvisedDelay(c),
 	}
-	if !urgent { // the caller has a part of the answer, of which the rest may be short
+	if !urgent && !x.begun { // else the caller has a part of the answer, of which the rest may be short
 		j.TimeLeft = x.timeLeft()
 	}
 	if x.pinned() {
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -226,3 +227,21 @@
 		is.Equal(int(wentOn.Load()), begun)
 	})
 }
+
+// TestTakeUpsAreNotRefusedForTheWholeAnswer guards against streams that are refused when they are taken
+// up, since an answer as long as the whole one would not end in time.
+func TestTakeUpsAreNotRefusedForTheWholeAnswer(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.servers.setAll(decodeServers, paced(70, 100*time.Millisecond))
+		is.Equal(f.call(context.Background(), "/resumable/x").status, 200) // the speed is known now
+		c := newCall("/resumable/x")
+		c.Deadline = c.Arrived.Add(4 * time.Second)
+		is.True(serve(context.Background(), f.Router, c).failure != nil)
+		c = takeUp(c, strings.Repeat("id: ", 50)) // 2 s are left
+		c.Deadline = c.Arrived.Add(4 * time.Second)
+		a := serve(context.Background(), f.Router, c)
+		is.True(a.failure == nil)
+		is.Equal(a.starts, 1)
+	})
+}
