router: an entry that relays a stream tells those that have started again what began it

Cause: records were made with a stream's first event and a minute later. Those that had them started again one after the other, and the entry noticed it only by answers to reports of new streams, of which one that drains has none; entries that started again were told nothing, and one that stopped handed nothing over.

Change: PeerFound, tellSilentKeepers and HandOver: peers that are found, keepers that were silent for 2 s, and all of them when the entry stops, are told of the streams in progress.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -107,6 +107,9 @@
 	Origin(stream origin.Key) (o origin.Origin, ok bool)
 	// KeeperRestarted is called when a keeper has started again and remembers nothing.
 	KeeperRestarted(addr string)
+	// PeerFound is called when a peer was found, has started again or was silent: it lacks what was
+	// reported before.
+	PeerFound(addr string)
 	// AddRemoteEnd is called with a server that ended without a plan, and AddRemoteSurvived
 	// with a cause of which servers have survived a request since.
 	AddRemoteEnd(e blame.End)
@@ -693,6 +696,7 @@
 	x.mu.Unlock()
 	if !known && !m.Leaving {
 		_ = level.Info(x.log).Log("msg", "peer found", "peer", from, "entries", entries)
+		x.handler.PeerFound(from)
 	}
 	x.notifyUsage(changed)
 	if waitsChanged || m.Leaving {
--- a/internal/loadexchange/exchange_test.go
+++ b/internal/loadexchange/exchange_test.go
@@ -89,6 +89,7 @@
 func (ignored) SetRemoteOrigins(origin.Origin, []origin.Key)  {}
 func (ignored) Origin(origin.Key) (origin.Origin, bool)       { return origin.Origin{}, false }
 func (ignored) KeeperRestarted(string)                        {}
+func (ignored) PeerFound(string)                              {}
 func (ignored) AddRemoteEnd(blame.End)                        {}
 func (ignored) AddRemoteSurvived(blame.Key, time.Time)        {}
 func (ignored) Evidence() ([]blame.End, map[blame.Key]time.Time) {
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -58,13 +58,37 @@
 	x.mu.Lock()
 	x.contactLocked(addr)
 	x.mu.Unlock()
+	x.tellStreams(streams, map[string]bool{addr: true})
+}
+
+// TellPeer reports to one peer what began streams.
+func (x *Exchange) TellPeer(addr string, streams map[origin.Origin][]origin.Key) {
+	x.tellStreams(streams, map[string]bool{addr: true})
+}
+
+// TellPeers reports to all live peers what began streams.
+func (x *Exchange) TellPeers(streams map[origin.Origin][]origin.Key) {
+	x.mu.Lock()
+	to := x.livePeersLocked(time.Now())
+	x.mu.Unlock()
+	x.tellStreams(streams, to)
+}
+
+func (x *Exchange) tellStreams(streams map[origin.Origin][]origin.Key, to map[string]bool) {
 	for o, list := range streams {
 		for part := range slices.Chunk(list, maxReported) {
-			x.sendOnce(&message{Origins: []originReport{newOriginReport(o, part...)}}, map[string]bool{addr: true})
+			x.sendOnce(&message{Origins: []originReport{newOriginReport(o, part...)}}, to)
 		}
 	}
 }
 
+// KeeperHeard returns the time of the last message of a keeper; zero if there is none.
+func (x *Exchange) KeeperHeard(addr string) time.Time {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.keepers[addr].heard
+}
+
 // AskOrigin asks the peers that probably received it, and keepers, what began the stream with one
 // of the keys of s. Their answers go to the handler. It reports whether anybody was asked.
 func (x *Exchange) AskOrigin(k origin.Key, s origin.Stream, keepers []string) bool {
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -202,8 +202,9 @@
 // FollowServers records the versions of the servers with each change until stop is closed, and
 // tells new keepers of the streams that this entry relays.
 func (r *Router) FollowServers(stop <-chan struct{}) {
-	refresh := time.NewTicker(refreshInterval)
+	refresh, check := time.NewTicker(refreshInterval), time.NewTicker(keeperSilence)
 	defer refresh.Stop()
+	defer check.Stop()
 	for {
 		changed := r.directory.Changed()
 		r.fleet.sync()
@@ -213,6 +214,8 @@
 			return
 		case <-refresh.C:
 			r.refreshRelayed()
+		case <-check.C:
+			r.tellSilentKeepers()
 		case <-changed:
 		}
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -30,6 +30,11 @@
 	TellOrigin(s origin.Stream, o origin.Origin, keepers []string)
 	// TellKeeper reports to one keeper what began streams.
 	TellKeeper(addr string, streams map[origin.Origin][]origin.Key)
+	// TellPeer reports to one peer, and TellPeers to all, what began streams.
+	TellPeer(addr string, streams map[origin.Origin][]origin.Key)
+	TellPeers(streams map[origin.Origin][]origin.Key)
+	// KeeperHeard returns the time of the last message of a keeper; zero if there is none.
+	KeeperHeard(addr string) time.Time
 	// AskOrigin asks some peers and keepers what began the stream with one of the keys of s. It
 	// reports whether there are any.
 	AskOrigin(k origin.Key, s origin.Stream, keepers []string) bool
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -57,6 +57,9 @@
 func (*recordingPeers) SetEvidenceKeepers([]string)                        {}
 func (*recordingPeers) TellOrigin(origin.Stream, origin.Origin, []string)  {}
 func (*recordingPeers) TellKeeper(string, map[origin.Origin][]origin.Key)  {}
+func (*recordingPeers) TellPeer(string, map[origin.Origin][]origin.Key)    {}
+func (*recordingPeers) TellPeers(map[origin.Origin][]origin.Key)           {}
+func (*recordingPeers) KeeperHeard(string) time.Time                       { return time.Time{} }
 func (*recordingPeers) AskOrigin(origin.Key, origin.Stream, []string) bool { return false }
 func (*recordingPeers) Keepers() int                                       { return 0 }
 func (*recordingPeers) ReportEnd(blame.End)                                {}
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -95,16 +95,21 @@
 	time.Sleep(2 * time.Second)
 	g.network.SetDrop(nil)
 	for i, former := range g.directories {
-		d := newConfiguredDirectory()
 		change(former)
-		for _, s := range former.Current().Servers {
-			d.Put(s)
-		}
-		g.start(i, d, false)
+		g.restart(i)
 	}
 	time.Sleep(100 * time.Millisecond)
 }
 
+// restart starts an entry again that has ended. It reads the registry anew.
+func (g *region) restart(i int) {
+	d := newConfiguredDirectory()
+	for _, s := range g.directories[i].Current().Servers {
+		d.Put(s)
+	}
+	g.start(i, d, false)
+}
+
 // load sends requests to random entries at a steady rate, and returns their answers.
 func (g *region) load(path string, perSecond float64, d time.Duration) []*recordedAnswer {
 	var all sync.WaitGroup
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/samphirestream/samphirestream/internal/directory"
 	"github.com/samphirestream/samphirestream/internal/origin"
@@ -67,25 +68,44 @@
 	return maps.Clone(l.streams)
 }
 
-// keptBy returns the streams, by origin, of which a keeper was told.
-func (l *relayed) keptBy(addr string) map[origin.Origin][]origin.Key {
+// byOrigin are the keys of streams, by what began them.
+type byOrigin map[origin.Origin][]origin.Key
+
+func (b byOrigin) add(s relayedStream) { b[s.origin] = append(b[s.origin], s.ID, s.Content) }
+
+// byKeeper returns the streams of which each keeper was told.
+func (l *relayed) byKeeper() map[string]byOrigin {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := map[origin.Origin][]origin.Key{}
+	out := map[string]byOrigin{}
 	for _, s := range l.streams {
-		if slices.Contains(s.keepers, addr) {
-			out[s.origin] = append(out[s.origin], s.ID, s.Content)
+		for _, addr := range s.keepers {
+			if out[addr] == nil {
+				out[addr] = byOrigin{}
+			}
+			out[addr].add(s)
 		}
 	}
 	return out
 }
 
+// byOrigin returns all streams.
+func (l *relayed) byOrigin() byOrigin {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := byOrigin{}
+	for _, s := range l.streams {
+		out.add(s)
+	}
+	return out
+}
+
 // reassign replaces the keepers of all streams, and returns for each new one the streams by
 // origin.
-func (l *relayed) reassign(keepersOf func(s relayedStream) []string) map[string]map[origin.Origin][]origin.Key {
+func (l *relayed) reassign(keepersOf func(s relayedStream) []string) map[string]byOrigin {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := map[string]map[origin.Origin][]origin.Key{}
+	out := map[string]byOrigin{}
 	for k, s := range l.streams {
 		former := s.keepers
 		s.keepers = keepersOf(s)
@@ -95,9 +115,9 @@
 				continue
 			}
 			if out[addr] == nil {
-				out[addr] = map[origin.Origin][]origin.Key{}
+				out[addr] = byOrigin{}
 			}
-			out[addr][s.origin] = append(out[addr][s.origin], s.ID, s.Content)
+			out[addr].add(s)
 		}
 	}
 	return out
@@ -138,7 +158,45 @@
 
 // KeeperRestarted tells a keeper that has started again of the streams that it kept.
 func (r *Router) KeeperRestarted(addr string) {
-	if streams := r.relayed.keptBy(addr); len(streams) > 0 {
+	if streams := r.relayed.byKeeper()[addr]; len(streams) > 0 {
+		r.options.Peers.TellKeeper(addr, streams)
+	}
+}
+
+// PeerFound tells a peer, which may have started again, of the streams that this entry relays.
+func (r *Router) PeerFound(addr string) {
+	if streams := r.relayed.byOrigin(); len(streams) > 0 {
+		r.options.Peers.TellPeer(addr, streams)
+	}
+}
+
+// keeperSilence is the time without a message of a keeper after which it is told again of its
+// streams. It may have started again: others report to it often enough to notice that only where new
+// streams begin.
+const keeperSilence = 2 * time.Second
+
+// tellSilentKeepers tells the keepers again that have not been heard of lately.
+func (r *Router) tellSilentKeepers() {
+	if r.options.Peers == nil {
+		return
+	}
+	for addr, streams := range r.relayed.byKeeper() {
+		if time.Since(r.options.Peers.KeeperHeard(addr)) >= keeperSilence {
+			r.options.Peers.TellKeeper(addr, streams)
+		}
+	}
+}
+
+// HandOver tells the other processes of the streams that this entry relays and is about to break
+// off. Those that were told when the streams began may have started again.
+func (r *Router) HandOver() {
+	if r.options.Peers == nil {
+		return
+	}
+	if streams := r.relayed.byOrigin(); len(streams) > 0 {
+		r.options.Peers.TellPeers(streams)
+	}
+	for addr, streams := range r.relayed.byKeeper() {
 		r.options.Peers.TellKeeper(addr, streams)
 	}
 }
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -169,6 +169,48 @@
 	}
 }
 
+// TestStreamsGoOnAfterARollingRestart guards against records that all processes lose one after the
+// other, while the entry that comes last still relays the streams.
+func TestStreamsGoOnAfterARollingRestart(t *testing.T) {
+	for name, end := range map[string]func(r *router.Router){
+		"the last entry is stopped": func(r *router.Router) { r.HandOver() },
+		"the last entry is killed":  func(*router.Router) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, 3, func(t *testing.T, g *region) {
+				is := is.New(t)
+				g.serveVersions(map[string]string{"p1": "v1", "p2": "v1", "d1": "v1", "d2": "v1", "d3": "v2"})
+				for _, id := range decodeServers {
+					g.servers.slowBy(id, 1500*time.Millisecond)
+				}
+				all := g.entries
+				g.entries = all[2:]
+				streams := g.beginStreams(20, func() {
+					time.Sleep(1500 * time.Millisecond) // the streams have events
+					for id, stop := range g.stopKeeper {
+						stop()
+						g.stopKeeper[id] = g.startKeeper(agentOf(id))
+					}
+					g.entries = all
+					for i := range 2 {
+						g.stop[i]()
+						time.Sleep(300 * time.Millisecond)
+						g.restart(i)
+					}
+					time.Sleep(3 * time.Second)
+					end(all[2])
+					g.stop[2]()
+				})
+				g.entries = all[:2]
+				begun, same, mixed := g.takeUpAll(streams)
+				is.True(begun > len(streams)/2)
+				is.Equal(mixed, 0)
+				is.Equal(same, begun)
+			})
+		})
+	}
+}
+
 // TestVersionsThatLeftBeforeARestartAreNotMixed guards against an entry that takes the only
 // version that it finds for the one that began a stream.
 func TestVersionsThatLeftBeforeARestartAreNotMixed(t *testing.T) {
