platform: the process beside a server gives its orders, and any entry may ask for them

Cause: only the first life of the first seed gave orders to servers (IsOrderHolder). Once it had ended, nobody did, for the rest of the system's life.

Change: the process beside a server is its only holder and orders it when an entry asks (platform.orderGiver, loadexchange.StageOrder). The entry that comes first of those alive leads, and has the store confirm its view before it asks.

Why it works: one machine orders a server at any time and in any partition, and leading passes on with silence.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -284,7 +284,7 @@
 // Order implements router.Servers.
 func (s *servers) Order(_ context.Context, o *router.Order) error {
 	s.fleet.count(func(r *Result) { r.Orders++ })
-	s.byID[o.Server.ID].changeStage(o.Stage, func() { s.fleet.register(o.Server.ID, o.Stage) })
+	s.byID[o.Server.ID].changeStage(o.To, func() { s.fleet.register(o.Server.ID, o.To) })
 	return nil
 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -131,7 +131,9 @@
 	for i := range f.options.Entries {
 		f.start(ctx, network, i, &background)
 	}
-	background.Go(func() { f.routers[0].Balance(ctx, "entry-0") })
+	for _, r := range f.routers {
+		background.Go(func() { r.Balance(ctx) })
+	}
 	sampled := &samples{}
 	background.Go(func() { f.sample(ctx, sampled) })
 	var callers sync.WaitGroup
@@ -170,7 +172,7 @@
 	u := &f.options.Engine.Uneven
 	reached := &entryServers{servers: f.servers}
 	r := router.New(dir, reached, router.Options{
-		DataCentre: u.centreOf(i), MaxQueued: maxQueued, Peers: x,
+		FirstStart: true, DataCentre: u.centreOf(i), MaxQueued: maxQueued, Peers: x,
 		Budget: router.BudgetOptions{Window: b.Window, Ratio: b.Ratio, Slack: b.Slack},
 	}, f.options.Logger)
 	reached.router = r
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -172,6 +172,8 @@
 	peers                map[string]*peer // by address
 	// keepers are the keepers that have answered, by address.
 	keepers map[string]keeperState
+	// orders are the orders of this entry that wait for an answer, by ID.
+	orders map[uint64]chan *orderPart
 	// newEvidence is what was not yet reported of servers that ended, and sentEvidence what
 	// is reported once more.
 	newEvidence, sentEvidence evidence
@@ -199,7 +201,7 @@
 	return &Exchange{
 		options: o, conn: conn, log: logger, incarnation: time.Now().UnixMilli(), started: time.Now(), flush: make(chan struct{}, 1),
 		seeds: o.Seeds, localUse: map[string]Usage{}, dirty: map[string]bool{}, peers: map[string]*peer{},
-		remotePools: map[string]bool{}, waits: map[string][]Waiting{}, dirtyWaits: map[string]bool{}, newPeers: map[string]bool{}, keepers: map[string]keeperState{},
+		remotePools: map[string]bool{}, waits: map[string][]Waiting{}, dirtyWaits: map[string]bool{}, newPeers: map[string]bool{}, keepers: map[string]keeperState{}, orders: map[uint64]chan *orderPart{},
 		speeds: map[string]predict.SpeedSums{}, dirtySpeeds: map[string]bool{}, sentSpeeds: map[string]float64{},
 		dirtyServers: map[string]bool{}, updatedServers: map[string]bool{},
 		freshnessAsked: map[uint64]time.Duration{},
@@ -365,6 +367,20 @@
 	return rank, entries
 }
 
+// Leads reports whether this entry comes first of all that are alive, in an order that they share. After a
+// start it does not before the others are known.
+func (x *Exchange) Leads() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	if now.Sub(x.started) < discoveryTime {
+		return false
+	}
+	entries := x.livePeersLocked(now)
+	entries[x.options.Self] = true
+	return highestWeights("lead", entries, 1)[0] == x.options.Self
+}
+
 func rendezvousWeight(key, addr string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(key + " " + addr)) // never fails
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -257,6 +257,8 @@
 	// ServerSpeeds are what the sender has observed of the speeds of single servers; in
 	// messages of their own.
 	ServerSpeeds map[string]serverSums `cbor:"22,keyasint,omitempty"`
+	// Order is about an order to the server beside a keeper; in messages of their own.
+	Order *orderPart `cbor:"28,keyasint,omitempty"`
 	// Leaving is set in the last message of a process that stops.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/loadexchange/origins.go
+++ b/internal/loadexchange/origins.go
@@ -161,6 +161,9 @@
 		x.handler.SetRemoteOrigins(o.origin(), o.Streams)
 	}
 	x.applyEvidence(m, now)
+	if m.Order != nil {
+		x.applyOrder(m.Order)
+	}
 	if !former.heard.IsZero() && former.incarnation != m.Incarnation {
 		x.handler.KeeperRestarted(from)
 		x.tellRestarted(from)
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -33,6 +33,8 @@
 	// server answered this entry at its address, in Unix nanoseconds; 0 if none did.
 	// replacedRemotely is that by the observations of the other entries.
 	replacedUntil, replacedRemotely atomic.Int64
+	// noOrdersUntil is the time until which the server gets no order, in Unix nanoseconds.
+	noOrdersUntil atomic.Int64
 	// orderedLocally is set while a change of stage that this process ordered is in
 	// progress.
 	orderedLocally atomic.Bool
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/samphirestream/samphirestream/internal/directory"
+	"github.com/samphirestream/samphirestream/internal/origin"
 	"github.com/samphirestream/samphirestream/internal/placement"
 	"github.com/samphirestream/samphirestream/internal/sleep"
 )
@@ -32,12 +34,22 @@
 	orderNotice = 100 * time.Millisecond
 	// orderTimeout bounds the call that gives one order.
 	orderTimeout = time.Second
+	// orderBackoff is the time for which a server gets no further order after one failed: the
+	// process beside it may be gone.
+	orderBackoff = 5 * time.Second
+	// leadInterval is the interval at which an entry checks whether it leads.
+	leadInterval = time.Second
+	// confirmedFor is the time for which orders may rely on a view that the registry has confirmed.
+	confirmedFor = 500 * time.Millisecond
 )
 
 const millisPerSecond = 1000
 
-// balance is what the holder of orders has recorded of the demand of one service.
+// balance is what the entry that leads has recorded of the demand of one service.
 type balance struct {
+	// since is the time from which it was recorded, and confirmedAt that at which the registry last
+	// confirmed the view of the servers.
+	since, confirmedAt time.Time
 	// sampledAt is the time until which runs were counted, on the dispatcher's clock.
 	sampledAt time.Duration
 	// wish is the number of servers by which the prefill stage should shrink, or grow if
@@ -57,64 +69,132 @@
 	runs        float64 // number of runs, decayed
 }
 
-// Balance moves servers of model services between the stages until ctx ends. Only one
-// process of the fleet may run it, since a server accepts orders of one holder only.
+// Balance moves servers of model services between the stages until ctx ends, whenever this entry
+// leads. Another entry may take itself to lead at the same time, if the two don't see each other: the process
+// beside a server gives the orders, and decides which of the two counts.
 // It answers loads whose shares of prefill and decode differ from the split with which
 // the servers were started: the requests are counted as they arrive, at all entries, so
 // that the split is known before a stage is full.
-func (r *Router) Balance(ctx context.Context, holder string) {
+func (r *Router) Balance(ctx context.Context) {
 	services := map[string]*balance{}
 	var orders sync.WaitGroup
 	defer orders.Wait()
 	for ctx.Err() == nil {
-		sleep.WithContext(ctx, sampleInterval)
-		snap := r.directory.Current()
-		if snap.Config == nil {
+		if !r.leads() {
+			clear(services) // what was counted is old when it leads again
+			sleep.WithContext(ctx, leadInterval)
 			continue
 		}
-		for name, svc := range snap.Config.Services {
-			if svc.Engine == nil || svc.Engine.StageChangeTime <= 0 {
-				continue
-			}
-			b, ok := services[name]
-			if !ok {
-				b = &balance{lastOrders: time.Now()}
-				services[name] = b
-			}
-			prefills, decodes := r.sampleDemand(name, b)
-			if time.Since(b.lastOrders) < orderInterval {
-				continue
-			}
-			longest := streamTime(snap.Config, svc)
-			if server := r.uncovered(name, longest); server != nil {
-				b.lastOrders = time.Now()
-				b.floorWaivedUntil = b.lastOrders.Add(svc.Engine.StageChangeTime + switchMargin + longest)
-				_ = level.Info(r.log).Log("msg", "no decode server has a version of software", "service", name, "software", server.server.Load().Software, "server", server.Name())
-				orders.Go(func() { r.reassign(ctx, holder, server, directory.Prefill, svc.Engine.StageChangeTime) })
-				continue
-			}
-			if len(prefills) < minStageServers && time.Now().Before(b.floorWaivedUntil) {
-				continue
-			}
-			d := b.demand(svc.Engine, r.prefillTime(snap.Config, svc))
-			n := len(prefills) - d.bestSplit(prefills, decodes)
-			if !b.lasting(n, svc.Engine.StageChangeTime) {
-				continue
-			}
-			from := directory.Prefill
-			if n < 0 {
-				from, n = directory.Decode, -n
-			}
-			b.ordered, b.lastOrders = true, time.Now()
-			_ = level.Info(r.log).Log("msg", "split changes", "service", name, "prefill_servers", len(prefills), "decode_servers", len(decodes), "prefill_speed", sum(prefills), "decode_speed", sum(decodes),
-				"from", from, "servers", n, "prefill_demand", d.prefill, "decode_demand", d.decode, "runs", int(d.runs))
-			for _, server := range r.toMove(name, from, n) {
-				orders.Go(func() { r.reassign(ctx, holder, server.backend, from, svc.Engine.StageChangeTime) })
-			}
+		for until := time.Now().Add(leadInterval); ctx.Err() == nil && time.Now().Before(until); {
+			sleep.WithContext(ctx, sampleInterval)
+			r.balanceAll(ctx, services, &orders)
+		}
+	}
+}
+
+// leads reports whether this entry has servers ordered to other stages.
+func (r *Router) leads() bool { return r.options.Peers == nil || r.options.Peers.Leads() }
+
+// balanceAll samples the demand of all services, and has servers ordered where that is due.
+func (r *Router) balanceAll(ctx context.Context, services map[string]*balance, orders *sync.WaitGroup) {
+	snap := r.directory.Current()
+	if snap.Config == nil {
+		return
+	}
+	for name, svc := range snap.Config.Services {
+		if svc.Engine == nil || svc.Engine.StageChangeTime <= 0 {
+			continue
+		}
+		b, ok := services[name]
+		if !ok {
+			b = &balance{lastOrders: time.Now(), since: time.Now()}
+			services[name] = b
+		}
+		prefills, decodes := r.sampleDemand(name, b)
+		if time.Since(b.lastOrders) < orderInterval {
+			continue
+		}
+		due := r.dueOrders(snap.Config, svc, b, prefills, decodes)
+		if len(due.servers) == 0 || !r.viewConfirmed(ctx, b) {
+			continue
+		}
+		_ = level.Info(r.log).Log(append([]any{"msg", due.cause, "service", name, "from", due.from, "servers", len(due.servers)}, due.log...)...)
+		now := time.Now()
+		if b.lastOrders = now; due.cause == causeSplit {
+			b.ordered = true
+		} else {
+			b.floorWaivedUntil = now.Add(svc.Engine.StageChangeTime + switchMargin + streamTime(snap.Config, svc))
+		}
+		for _, server := range due.servers {
+			orders.Go(func() { r.reassign(ctx, server, due.from, svc.Engine.StageChangeTime) })
 		}
 	}
 }
 
+// viewConfirmed reports whether the registry has just confirmed the view on which orders are based.
+// It asks the registry first if it has not; the orders are due again if they still hold then.
+func (r *Router) viewConfirmed(ctx context.Context, b *balance) bool {
+	if r.options.Registry == nil || time.Since(b.confirmedAt) < confirmedFor {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, coverTimeout)
+	defer cancel()
+	if err := r.options.Registry.Cover(ctx, 0); err != nil {
+		b.lastOrders = time.Now()
+		_ = level.Warn(r.log).Log("msg", "no orders without the registry", "err", err)
+		return false
+	}
+	b.confirmedAt = time.Now()
+	return false
+}
+
+// Causes of orders.
+const (
+	causeSplit   = "split changes"
+	causeVersion = "too few decode servers for the streams of a version of software"
+)
+
+// dueOrders are the servers of a service that are to leave a stage now.
+type dueOrders struct {
+	from    directory.Stage
+	servers []*backend
+	cause   string
+	log     []any // further fields of the log line
+}
+
+// dueOrders returns the orders of a service that are due; none if it has no servers.
+func (r *Router) dueOrders(c *directory.Config, svc *directory.Service, b *balance, prefills, decodes []float64) dueOrders {
+	d := b.demand(svc.Engine, r.prefillTime(c, svc))
+	if server := r.uncovered(svc.Name, streamTime(c, svc), d.runsPerServer); server != nil {
+		return dueOrders{from: directory.Prefill, servers: []*backend{server}, cause: causeVersion, log: []any{"software", server.server.Load().Software, "server", server.Name()}}
+	}
+	if len(prefills) < minStageServers && time.Now().Before(b.floorWaivedUntil) || !r.demandKnown(b) {
+		return dueOrders{}
+	}
+	n := len(prefills) - d.bestSplit(prefills, decodes)
+	if !b.lasting(n, svc.Engine.StageChangeTime) {
+		return dueOrders{}
+	}
+	due := dueOrders{from: directory.Prefill, cause: causeSplit, log: []any{
+		"prefill_servers", len(prefills), "decode_servers", len(decodes), "prefill_speed", sum(prefills), "decode_speed", sum(decodes),
+		"prefill_demand", d.prefill, "decode_demand", d.decode, "runs", int(d.runs),
+	}}
+	if n < 0 {
+		due.from, n = directory.Decode, -n
+	}
+	for _, c := range r.toMove(svc.Name, due.from, n) {
+		due.servers = append(due.servers, c.backend)
+	}
+	return due
+}
+
+// demandKnown reports whether this entry has counted the demand for long enough to change the split: at
+// the first start of the system from the first requests on, and later for the averaging time.
+func (r *Router) demandKnown(b *balance) bool {
+	first := r.options.FirstStart && b.since.Sub(r.started) < averagingTime
+	return first || time.Since(b.since) >= averagingTime
+}
+
 // lasting records by how many servers the prefill stage should shrink. It reports whether
 // to order that now: the first time at once, and then only if it should have shrunk, or
 // grown, for as long as a change of stage takes. A shorter imbalance, as after a crash of
@@ -200,9 +280,9 @@
 	b.runs++
 }
 
-// reassign orders a server of a stage to the other one. switchTime is the time that the
+// reassign has a server of a stage ordered to the other one. switchTime is the time that the
 // change takes.
-func (r *Router) reassign(ctx context.Context, holder string, b *backend, from directory.Stage, switchTime time.Duration) {
+func (r *Router) reassign(ctx context.Context, b *backend, from directory.Stage, switchTime time.Duration) {
 	to := from.Other()
 	b.stageChangeUntil.Store(time.Now().Add(switchTime + switchMargin).UnixNano())
 	b.orderedLocally.Store(true)
@@ -210,10 +290,11 @@
 	sleep.WithContext(ctx, orderNotice)
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := r.servers.Order(ctx, &Order{Server: b.server.Load(), Stage: to, Holder: holder, Fence: r.nextFence(time.Now())})
+	err := r.servers.Order(ctx, &Order{Server: b.server.Load(), To: to, Duration: switchTime + switchMargin})
 	_ = level.Info(r.log).Log("msg", "stage ordered", "server", b.Name(), "from", from, "to", to, "err", err)
 	ended := func() { b.orderedLocally.Store(false); r.shareUsage(b) }
 	if err != nil {
+		b.noOrdersUntil.Store(time.Now().Add(orderBackoff).UnixNano())
 		b.stageChangeUntil.Store(0)
 		ended()
 		return
@@ -221,16 +302,9 @@
 	time.AfterFunc(switchTime+switchMargin, ended)
 }
 
-// nextFence returns a fence above those that this process has used. It is the time of day in
-// milliseconds, so that it is above those of earlier holders too, unless the clock went back.
-func (r *Router) nextFence(now time.Time) int64 {
-	for {
-		last := r.lastFence.Load()
-		next := max(now.UnixMilli(), last+1)
-		if r.lastFence.CompareAndSwap(last, next) {
-			return next
-		}
-	}
+// takesOrders reports whether a server may be ordered to another stage.
+func (b *backend) takesOrders(now time.Time) bool {
+	return !b.view.Unavailable && now.UnixNano() >= b.noOrdersUntil.Load()
 }
 
 // minVersionServers is the number of servers of one version of software from which one of
@@ -260,19 +334,26 @@
 	return longest
 }
 
-// uncovered returns the least used prefill server of a version of software that began
-// streams within a time and that no decode server has any longer; nil if there is no such
-// version, or no other prefill server takes work. This goes before minStageServers: without
-// it the streams of the version end for certain, while a stage of one server ends
-// requests only if that one fails, too.
-func (r *Router) uncovered(service string, within time.Duration) *backend {
+// uncovered returns the least used prefill server of a version of software that began streams within a
+// time and has too few decode servers left for them; nil if there is none. perServer is the number of runs for
+// which one server has room; 0 if that is not known.
+//
+// The first decode server of a version goes before minStageServers, as long as another
+// prefill server takes work: without it the streams of the version end for certain, while a stage of
+// one server ends requests only if that one fails, too. Further ones don't.
+func (r *Router) uncovered(service string, within time.Duration, perServer float64) *backend {
 	began := r.fleet.softwareWithin(service, within)
 	if len(began) <= 1 {
 		return nil
 	}
 	var found *backend
 	r.dispatch.VisitServers(service, func(_ time.Duration, prefills, decodes []*backend) {
-		now, covering, all, available := time.Now(), coverage(decodes), map[string]int{}, 0
+		now, covering, all, leaving, available := time.Now(), coverage(decodes), map[string]int{}, map[string]bool{}, 0
+		for _, b := range decodes {
+			if b.leaving() {
+				leaving[b.server.Load().Software] = true
+			}
+		}
 		for _, b := range prefills {
 			switch {
 			case b.leaving():
@@ -285,12 +366,16 @@
 				all[b.server.Load().Software]++
 			}
 		}
-		if available < 2 {
-			return
+		needs := func(software string) bool {
+			n := covering[software]
+			if n == 0 {
+				return available >= 2 && all[software] >= minVersionServers
+			}
+			return leaving[software] && available > minStageServers && n < r.decodeServersFor(origin.Origin{Service: service, Software: software}, perServer)
 		}
 		for _, b := range prefills {
 			software := b.server.Load().Software
-			if b.view.Unavailable || covering[software] > 0 || all[software] < minVersionServers || !slices.Contains(began, software) {
+			if !b.takesOrders(now) || !slices.Contains(began, software) || !needs(software) {
 				continue
 			}
 			if found == nil || b.view.PrefillTokens() < found.view.PrefillTokens() {
@@ -301,6 +386,19 @@
 	return found
 }
 
+// decodeServersFor returns the number of decode servers that have room for the streams that something
+// began and that may be taken up. The other entries are taken to relay as many as this one.
+func (r *Router) decodeServersFor(o origin.Origin, perServer float64) int {
+	if perServer <= 0 {
+		return 1
+	}
+	entries := 1
+	if r.options.Peers != nil {
+		entries += r.options.Peers.Alive()
+	}
+	return int(math.Ceil(float64(r.relayed.count(o)*entries) / perServer))
+}
+
 // toMove returns up to n servers of a stage that take work, in the order in which servers
 // change it, but not the last decode server of a version of software
 // beside others.
@@ -311,10 +409,10 @@
 		if stage == directory.Decode {
 			servers = decodes
 		}
-		covering := coverage(decodes)
+		now, covering := time.Now(), coverage(decodes)
 		for _, b := range servers {
 			last := stage == directory.Decode && len(covering) > 1 && covering[b.server.Load().Software] == 1
-			if !b.view.Unavailable && !last {
+			if b.takesOrders(now) && !last {
 				found = append(found, newCandidate(b, stage))
 			}
 		}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -144,11 +144,10 @@
 // Order is a command to a server to change its stage.
 type Order struct {
 	Server *directory.Server
-	Stage  directory.Stage
-	// Holder names the process that holds the right to give orders, and Fence is the
-	// fencing token, which increases with each order.
-	Holder string
-	Fence  int64
+	// To is the stage that the server gets, and Duration the time that the change takes, with the
+	// registration of its end.
+	To       directory.Stage
+	Duration time.Duration
 }
 
 // Servers is the client of the backend servers. Its errors are *upstream.Error. A
@@ -164,7 +163,8 @@
 	// Probe opens a connection to a server for its next call. It fails when the
 	// server is unreachable.
 	Probe(ctx context.Context, s *directory.Server) error
-	// Order sends an order to its server.
+	// Order has the process beside a server give it an order. No other process may, since a
+	// server accepts orders of one machine only.
 	Order(ctx context.Context, o *Order) error
 	// CloseIdle closes the idle connections to a server.
 	CloseIdle(s *directory.Server)
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -55,6 +55,8 @@
 	UsageAge() time.Duration
 	// Entries returns the number of entries, this one included.
 	Entries() int
+	// Leads reports whether this entry comes first of all that are alive.
+	Leads() bool
 	// Rank returns the position of this entry among all in an order that depends on key,
 	// and the number of entries.
 	Rank(key string) (rank, entries int)
--- a/internal/router/region_test.go
+++ b/internal/router/region_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -110,6 +111,26 @@
 	g.start(i, d, false)
 }
 
+// balance has all entries order servers to other stages until stop is called.
+func (g *region) balance() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var balanced sync.WaitGroup
+	for _, r := range g.entries {
+		balanced.Go(func() { r.Balance(ctx) })
+	}
+	return func() { cancel(); balanced.Wait() }
+}
+
+// orders returns the servers that were ordered to decode.
+func (g *region) orders() (servers []string) {
+	for _, call := range g.servers.recorded() {
+		if f := strings.Fields(call); f[0] == "order" && f[2] == fmt.Sprint(directory.Decode) {
+			servers = append(servers, f[1])
+		}
+	}
+	return servers
+}
+
 // load sends requests to random entries at a steady rate, and returns their answers.
 func (g *region) load(path string, perSecond float64, d time.Duration) []*recordedAnswer {
 	var all sync.WaitGroup
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// count returns the number of streams that something began.
+func (l *relayed) count(o origin.Origin) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, s := range l.streams {
+		if s.origin == o {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *relayed) len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -107,9 +107,6 @@
 	// levels chooses servers of plain services.
 	levels levels
 
-	// lastFence is the fence of the last order.
-	lastFence atomic.Int64
-
 	mu      sync.Mutex // guards the fields below
 	budgets map[string]*retry.Budget
 }
