platform: the store's history tells a process that has started lately what served before

Cause: records end with the processes that have them, and the conclusion that only one version can have begun a stream took two minutes of own knowledge, though streams end after 14 s.

Each change raises the store's revision by one: those that present items don't account for are looked for in the store's history, as far back as it is kept. In doubt nothing is concluded.

Why it works: a version that served within the last 20 s is registered, or its removal is in the history, with its registration or an error.

--- a/internal/directory/coverage.go
+++ b/internal/directory/coverage.go
@@ -64,6 +64,32 @@
 	d.setCoverage(configKnown, func(c Coverage) Coverage { return Coverage{since: before, asOf: c.asOf} })
 }
 
+// Recall adds what the registry's history tells: the roles that servers had at some time since a time of which
+// all registrations are known then. Until when they had them is not known.
+func (d *Directory) Recall(since time.Time, roles []Role) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u, now := d.update(), time.Now()
+	for _, r := range roles {
+		u.recordFormer(r, now)
+	}
+	u.next.ServersKnown = u.next.ServersKnown.extendBack(since)
+	d.current.Store(&u.next)
+}
+
+// RecallConfig records that the configuration in force was in force since a time.
+func (d *Directory) RecallConfig(since time.Time) {
+	d.setCoverage(configKnown, func(c Coverage) Coverage { return c.extendBack(since) })
+}
+
+// extendBack extends a span back to a time.
+func (c Coverage) extendBack(since time.Time) Coverage {
+	if since.Before(c.since) {
+		c.since = since
+	}
+	return c
+}
+
 func serversKnown(s *Snapshot) *Coverage { return &s.ServersKnown }
 
 func configKnown(s *Snapshot) *Coverage { return &s.ConfigKnown }
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -293,6 +293,9 @@
 type registry struct {
 	directory   *directory.Directory
 	unreachable atomic.Bool
+	// history are the roles that servers had before the directory was first read; nil if the registry
+	// does not tell.
+	history []directory.Role
 }
 
 // newRegistry returns the registry from which a directory was read just now.
@@ -309,6 +312,10 @@
 	if r.unreachable.Load() {
 		return errRefusedConnection
 	}
+	if r.history != nil {
+		r.directory.Recall(time.Time{}, r.history)
+		r.directory.RecallConfig(time.Time{})
+	}
 	r.directory.ConfirmRead(time.Now())
 	r.directory.ConfirmConfigRead(time.Now())
 	return nil
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -270,6 +270,46 @@
 	})
 }
 
+// TestStreamsGoOnAfterAllProcessesWereKilled guards against a conclusion that takes longer than streams last, when nobody
+// is left that has a record.
+func TestStreamsGoOnAfterAllProcessesWereKilled(t *testing.T) {
+	role := func(software string) directory.Role {
+		return directory.Role{Service: "llm", Software: software, Stage: directory.Decode}
+	}
+	for name, tc := range map[string]struct {
+		history []directory.Role // of the registry
+		later   time.Duration
+		goOn    bool
+	}{
+		"the history has one version":         {[]directory.Role{role("v1")}, 0, true},
+		"another version has left":            {[]directory.Role{role("v1"), role("v2")}, 0, false},
+		"no history":                          {nil, 0, false},
+		"no history, as long as streams last": {nil, 14 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRegion(t, 3, func(t *testing.T, g *region) {
+				is := is.New(t)
+				g.serveVersions(map[string]string{"p1": "v1", "p2": "v1", "d1": "v1", "d2": "v1", "d3": "v1"})
+				streams := g.beginStreams(20, func() {})
+				for id, stop := range g.stopKeeper {
+					stop()
+					g.stopKeeper[id] = g.startKeeper(agentOf(id))
+				}
+				g.killAll(func(*directory.Directory) {})
+				for _, r := range g.registries {
+					r.history = tc.history
+				}
+				time.Sleep(tc.later)
+				begun, same, mixed := g.takeUpAll(streams)
+				is.True(begun > len(streams)/2)
+				is.Equal(mixed, 0)
+				is.Equal(same == begun, tc.goOn)
+				is.True(tc.goOn || same == 0)
+			})
+		})
+	}
+}
+
 // TestTakeUpsAreNotRefusedForTheWholeAnswer guards against streams that are refused when they are taken
 // up, since an answer as long as the whole one would not end in time.
 func TestTakeUpsAreNotRefusedForTheWholeAnswer(t *testing.T) {
