--- a/internal/directory/coverage.go
+++ b/internal/directory/coverage.go
@@ -64,8 +64,8 @@
 	d.setCoverage(configKnown, func(c Coverage) Coverage { return Coverage{since: before, asOf: c.asOf} })
 }
 
-// Recall adds what the registry's history tells: the roles that servers had at some time since a time of which
-// all registrations are known then. Until when they had them is not known.
+// Recall adds what the registry's history tells: the roles that servers had at some time since a
+// time of which all registrations are known then. Until when they had them is not known.
 func (d *Directory) Recall(since time.Time, roles []Role) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -83,8 +83,8 @@
 	// Registry, if not nil, is the entry's knowledge of the registry, of which the entries
 	// exchange the age.
 	Registry Registry
-	// Quotas, if not nil, are the quotas of organisations, whose use the entries report to each other
-	// their use.
+	// Quotas, if not nil, are the quotas of organisations, whose use the entries report to each
+	// other their use.
 	Quotas *quota.Table
 }
 
@@ -367,8 +367,8 @@
 	return rank, entries
 }
 
-// Leads reports whether this entry comes first of all that are alive, in an order that they share. After a
-// start it does not before the others are known.
+// Leads reports whether this entry comes first of all that are alive, in an order that they share.
+// After a start it does not before the others are known.
 func (x *Exchange) Leads() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/loadexchange/keeper.go
+++ b/internal/loadexchange/keeper.go
@@ -16,8 +16,8 @@
 )
 
 // Keeper remembers, beside a backend server, what entries report of streams and of servers that
-// ended, and answers entries that ask. It gives the server the orders that they ask for. It learns of
-// no one else and sends nothing unasked.
+// ended, and answers entries that ask. It gives the server the orders that they ask for. It learns
+// of no one else and sends nothing unasked.
 type Keeper struct {
 	conn        Conn
 	log         log.Logger
--- a/internal/loadexchange/message.go
+++ b/internal/loadexchange/message.go
@@ -252,7 +252,8 @@
 	// only in messages to peers that were found or silent.
 	Quotas []quota.Use   `cbor:"19,keyasint,omitempty"`
 	Levels *quota.Levels `cbor:"20,keyasint,omitempty"`
-	// Known is the number of entries that the sender has recorded lately; 0 if it does not state it.
+	// Known is the number of entries that the sender has recorded lately; 0 if it does not state
+	// it.
 	Known int `cbor:"21,keyasint,omitempty"`
 	// ServerSpeeds are what the sender has observed of the speeds of single servers; in
 	// messages of their own.
--- a/internal/loadexchange/orders.go
+++ b/internal/loadexchange/orders.go
@@ -21,7 +21,8 @@
 	Started int64
 	// From and To are the stage that the server has and the one that it gets.
 	From, To directory.Stage
-	// Duration is the time that the change takes, with the registration of its end, in milliseconds.
+	// Duration is the time that the change takes, with the registration of its end, in
+	// milliseconds.
 	Duration int64
 }
 
@@ -45,8 +46,8 @@
 	// orderRepeat is the time after which a message about an order is sent again: several round
 	// trips within a region.
 	orderRepeat = 50 * time.Millisecond
-	// permitTTL is the time for which a permit holds, and a result is kept for an entry that has not
-	// received it.
+	// permitTTL is the time for which a permit holds, and a result is kept for an entry that has
+	// not received it.
 	permitTTL = time.Second
 	// maxPermits bounds the permits of a keeper; the number of entries in a data centre is lower.
 	maxPermits = 1024
--- a/internal/loadexchange/orders_test.go
+++ b/internal/loadexchange/orders_test.go
@@ -16,7 +16,8 @@
 	"github.com/samphirestream/samphirestream/internal/directory"
 )
 
-// withKeeper runs a test in virtual time with an entry and a keeper that counts the orders that it gives.
+// withKeeper runs a test in virtual time with an entry and a keeper that counts the orders that it
+// gives.
 func withKeeper(t *testing.T, give func(o StageOrder) error, test func(x *Exchange, k *Keeper, given *atomic.Int64, drop func(func(from, to string) bool))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -36,8 +37,8 @@
 	})
 }
 
-// TestOrdersAreGivenOnce guards against an order that is lost with a datagram, or given twice since one was
-// sent again.
+// TestOrdersAreGivenOnce guards against an order that is lost with a datagram, or given twice since
+// one was sent again.
 func TestOrdersAreGivenOnce(t *testing.T) {
 	for name, tc := range map[string]struct {
 		lost   int // one datagram in so many is lost; 0: none
--- a/internal/router/balance.go
+++ b/internal/router/balance.go
@@ -70,11 +70,11 @@
 }
 
 // Balance moves servers of model services between the stages until ctx ends, whenever this entry
-// leads. Another entry may take itself to lead at the same time, if the two don't see each other: the process
-// beside a server gives the orders, and decides which of the two counts.
-// It answers loads whose shares of prefill and decode differ from the split with which
-// the servers were started: the requests are counted as they arrive, at all entries, so
-// that the split is known before a stage is full.
+// leads. Another entry may take itself to lead at the same time, if the two don't see each other:
+// the process beside a server gives the orders, and decides which of the two counts. It answers
+// loads whose shares of prefill and decode differ from the split with which the servers were
+// started: the requests are counted as they arrive, at all entries, so that the split is known
+// before a stage is full.
 func (r *Router) Balance(ctx context.Context) {
 	services := map[string]*balance{}
 	var orders sync.WaitGroup
@@ -188,8 +188,9 @@
 	return due
 }
 
-// demandKnown reports whether this entry has counted the demand for long enough to change the split: at
-// the first start of the system from the first requests on, and later for the averaging time.
+// demandKnown reports whether this entry has counted the demand for long enough to change the
+// split: at the first start of the system from the first requests on, and later for the averaging
+// time.
 func (r *Router) demandKnown(b *balance) bool {
 	first := r.options.FirstStart && b.since.Sub(r.started) < averagingTime
 	return first || time.Since(b.since) >= averagingTime
@@ -334,13 +335,13 @@
 	return longest
 }
 
-// uncovered returns the least used prefill server of a version of software that began streams within a
-// time and has too few decode servers left for them; nil if there is none. perServer is the number of runs for
-// which one server has room; 0 if that is not known.
+// uncovered returns the least used prefill server of a version of software that began streams
+// within a time and has too few decode servers left for them; nil if there is none. perServer is
+// the number of runs for which one server has room; 0 if that is not known.
 //
-// The first decode server of a version goes before minStageServers, as long as another
-// prefill server takes work: without it the streams of the version end for certain, while a stage of
-// one server ends requests only if that one fails, too. Further ones don't.
+// The first decode server of a version goes before minStageServers, as long as another prefill
+// server takes work: without it the streams of the version end for certain, while a stage of one
+// server ends requests only if that one fails, too. Further ones don't.
 func (r *Router) uncovered(service string, within time.Duration, perServer float64) *backend {
 	began := r.fleet.softwareWithin(service, within)
 	if len(began) <= 1 {
@@ -386,8 +387,9 @@
 	return found
 }
 
-// decodeServersFor returns the number of decode servers that have room for the streams that something
-// began and that may be taken up. The other entries are taken to relay as many as this one.
+// decodeServersFor returns the number of decode servers that have room for the streams that
+// something began and that may be taken up. The other entries are taken to relay as many as this
+// one.
 func (r *Router) decodeServersFor(o origin.Origin, perServer float64) int {
 	if perServer <= 0 {
 		return 1
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -293,8 +293,8 @@
 type registry struct {
 	directory   *directory.Directory
 	unreachable atomic.Bool
-	// history are the roles that servers had before the directory was first read; nil if the registry
-	// does not tell.
+	// history are the roles that servers had before the directory was first read; nil if the
+	// registry does not tell.
 	history []directory.Role
 }
 
--- a/internal/router/only_origin.go
+++ b/internal/router/only_origin.go
@@ -33,8 +33,8 @@
 	missingDecodeServer = "no server that could have begun the stream is known"
 )
 
-// onlyOrigin returns what began the stream of the call if all that is known of the servers leaves one
-// possibility. Another version may have registered and begun the stream without this entry's
+// onlyOrigin returns what began the stream of the call if all that is known of the servers leaves
+// one possibility. Another version may have registered and begun the stream without this entry's
 // knowledge, so that its view must reach back to the earliest begin of the stream, and be as new as
 // the call.
 func (x *exchange) onlyOrigin(ctx context.Context) (origin.Origin, originSource) {
@@ -121,9 +121,9 @@
 	return out
 }
 
-// lifetimes are the times for which streams of the routes may run: until the time limit of the route, or
-// that of the caller, who may take the stream up again and again. The zero value is ready to
-// use, also concurrently.
+// lifetimes are the times for which streams of the routes may run: until the time limit of the
+// route, or that of the caller, who may take the stream up again and again. The zero value is ready
+// to use, also concurrently.
 type lifetimes struct {
 	mu      sync.Mutex
 	byRoute map[routeKey]lifetime
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -42,8 +42,8 @@
 	SetEvidenceKeepers(addrs []string)
 	// Keepers returns the number of keepers that answered lately.
 	Keepers() int
-	// ReportEnd reports to all peers that a server ended without a plan, and ReportSurvived when servers
-	// last survived requests with some causes.
+	// ReportEnd reports to all peers that a server ended without a plan, and ReportSurvived when
+	// servers last survived requests with some causes.
 	ReportEnd(e blame.End)
 	ReportSurvived(causes map[blame.Key]time.Time)
 	// Alive returns the number of other entries that are alive.
--- a/internal/router/relayed.go
+++ b/internal/router/relayed.go
@@ -184,8 +184,8 @@
 }
 
 // keeperSilence is the time without a message of a keeper after which it is told again of its
-// streams. It may have started again: others report to it often enough to notice that only where new
-// streams begin.
+// streams. It may have started again: others report to it often enough to notice that only where
+// new streams begin.
 const keeperSilence = 2 * time.Second
 
 // tellSilentKeepers tells the keepers again that have not been heard of lately.
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -270,8 +270,8 @@
 	})
 }
 
-// TestStreamsGoOnAfterAllProcessesWereKilled guards against a conclusion that takes longer than streams last, when nobody
-// is left that has a record.
+// TestStreamsGoOnAfterAllProcessesWereKilled guards against a conclusion that takes longer than
+// streams last, when nobody is left that has a record.
 func TestStreamsGoOnAfterAllProcessesWereKilled(t *testing.T) {
 	role := func(software string) directory.Role {
 		return directory.Role{Service: "llm", Software: software, Stage: directory.Decode}
@@ -310,8 +310,8 @@
 	}
 }
 
-// TestTakeUpsAreNotRefusedForTheWholeAnswer guards against streams that are refused when they are taken
-// up, since an answer as long as the whole one would not end in time.
+// TestTakeUpsAreNotRefusedForTheWholeAnswer guards against streams that are refused when they are
+// taken up, since an answer as long as the whole one would not end in time.
 func TestTakeUpsAreNotRefusedForTheWholeAnswer(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -448,8 +448,8 @@
 	})
 }
 
-// TestOrdersDoNotEndWithAnEntry guards against a fleet in which nobody gives orders any longer, or several
-// entries do at once.
+// TestOrdersDoNotEndWithAnEntry guards against a fleet in which nobody gives orders any longer, or
+// several entries do at once.
 func TestOrdersDoNotEndWithAnEntry(t *testing.T) {
 	for name, tc := range map[string]struct {
 		alive  []int
@@ -486,8 +486,8 @@
 	}
 }
 
-// TestVersionsKeepRoomForTheirStreams guards against one decode server for the streams of a version that
-// had several.
+// TestVersionsKeepRoomForTheirStreams guards against one decode server for the streams of a version
+// that had several.
 func TestVersionsKeepRoomForTheirStreams(t *testing.T) {
 	withRegion(t, 2, func(t *testing.T, g *region) {
 		is := is.New(t)
