--- a/internal/directory/coverage_test.go
+++ b/internal/directory/coverage_test.go
@@ -8,8 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// TestCoverageEndsAndBeginsWithTheReads guards against a view that is complete but old, or new but
-// with a gap, and counts as both.
+// A view must not count as complete and current when it is old, or has a gap.
 func TestCoverageEndsAndBeginsWithTheReads(t *testing.T) {
 	at := func(seconds int) time.Duration { return time.Duration(seconds) * time.Second }
 	for name, tc := range map[string]struct {
@@ -52,8 +51,7 @@
 	}
 }
 
-// TestFormerRolesAreRemembered guards against a version of which nothing is known since its servers
-// came and left, or changed, between two snapshots.
+// A version must not be forgotten whose servers came and left between two snapshots.
 func TestFormerRolesAreRemembered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/loadexchange/orders_test.go
+++ b/internal/loadexchange/orders_test.go
@@ -37,8 +37,7 @@
 	})
 }
 
-// TestOrdersAreGivenOnce guards against an order that is lost with a datagram, or given twice since
-// one was sent again.
+// An order must not be lost with a datagram, nor given twice since one was sent again.
 func TestOrdersAreGivenOnce(t *testing.T) {
 	for name, tc := range map[string]struct {
 		lost   int // one datagram in so many is lost; 0: none
@@ -72,8 +71,7 @@
 	}
 }
 
-// TestOrdersWithoutAPermitAreNotGiven guards against orders of senders that do not receive at their
-// address, and against those that have waited.
+// Senders that don't receive at their address, and old orders, must have no effect.
 func TestOrdersWithoutAPermitAreNotGiven(t *testing.T) {
 	withKeeper(t, func(StageOrder) error { return nil }, func(_ *Exchange, k *Keeper, given *atomic.Int64, _ func(func(from, to string) bool)) {
 		is := is.New(t)
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -169,8 +169,7 @@
 	}
 }
 
-// TestStreamsGoOnAfterARollingRestart guards against records that all processes lose one after the
-// other, while the entry that comes last still relays the streams.
+// Records must not be lost by one process after the other while an entry still relays.
 func TestStreamsGoOnAfterARollingRestart(t *testing.T) {
 	for name, end := range map[string]func(r *router.Router){
 		"the last entry is stopped": func(r *router.Router) { r.HandOver() },
@@ -270,8 +269,7 @@
 	})
 }
 
-// TestStreamsGoOnAfterAllProcessesWereKilled guards against a conclusion that takes longer than
-// streams last, when nobody is left that has a record.
+// Without any record, one version in the registry's history must be enough.
 func TestStreamsGoOnAfterAllProcessesWereKilled(t *testing.T) {
 	role := func(software string) directory.Role {
 		return directory.Role{Service: "llm", Software: software, Stage: directory.Decode}
@@ -310,8 +308,7 @@
 	}
 }
 
-// TestTakeUpsAreNotRefusedForTheWholeAnswer guards against streams that are refused when they are
-// taken up, since an answer as long as the whole one would not end in time.
+// A take-up must not be refused for the part of the answer that its caller has.
 func TestTakeUpsAreNotRefusedForTheWholeAnswer(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
--- a/internal/router/versions_test.go
+++ b/internal/router/versions_test.go
@@ -417,8 +417,7 @@
 	}
 }
 
-// TestStreamsGoOnAtAServerOnceItHasChangedItsStage guards against entries that wait for the longest
-// time that the change might take, after the server is registered with its new stage.
+// Entries must not leave a server out for longer than its change of stage takes.
 func TestStreamsGoOnAtAServerOnceItHasChangedItsStage(t *testing.T) {
 	withRegion(t, 3, func(t *testing.T, g *region) {
 		is := is.New(t)
@@ -448,8 +447,7 @@
 	})
 }
 
-// TestOrdersDoNotEndWithAnEntry guards against a fleet in which nobody gives orders any longer, or
-// several entries do at once.
+// Orders must not end with one entry, come from several, or rely on an old view.
 func TestOrdersDoNotEndWithAnEntry(t *testing.T) {
 	for name, tc := range map[string]struct {
 		alive  []int
@@ -486,8 +484,7 @@
 	}
 }
 
-// TestVersionsKeepRoomForTheirStreams guards against one decode server for the streams of a version
-// that had several.
+// A version that had several decode servers must not be left with room for one.
 func TestVersionsKeepRoomForTheirStreams(t *testing.T) {
 	withRegion(t, 2, func(t *testing.T, g *region) {
 		is := is.New(t)
