--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -199,8 +199,8 @@
 	return b != nil && (!x.begun || b.server.Load().Software == x.software)
 }
 
-// FollowServers records the versions of the servers with each change until stop is closed, and
-// tells new keepers of the streams that this entry relays.
+// FollowServers follows the servers until stop is closed. It tells keepers that are new, or have
+// been silent, of the streams that this entry relays.
 func (r *Router) FollowServers(stop <-chan struct{}) {
 	refresh, check := time.NewTicker(refreshInterval), time.NewTicker(keeperSilence)
 	defer refresh.Stop()
